--- /dev/null
+++ b/src/core/ask_queue.h
@@ -0,0 +1,81 @@
+// Defines AskQueue: the asks that wait for a slot of one cell, in the order in
+// which they may be granted and given up.
+
+#ifndef POMELORING_CORE_ASK_QUEUE_H_
+#define POMELORING_CORE_ASK_QUEUE_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/messages.h"
+
+namespace pomeloring {
+
+struct WaitingAsk {
+  Ask ask;
+  InstanceName entry;
+  Tier tier;
+  bool drop_when_late = true;
+  Time arrived;       // At the entry.
+  Time latest_start;  // To meet the target.
+  Time renewed;
+  Time aged_at;  // From then on it may overtake, see TakeNext().
+};
+
+// The requests of one account in one class: the unit of fair sharing.
+struct Flow {
+  AccountName account;
+  ClassName request_class;
+  auto operator<=>(const Flow&) const = default;
+};
+
+using AskKey = std::pair<Time, AttemptId>;  // By latest start.
+
+struct TierQueue {
+  std::map<Flow, std::set<AskKey>> flows;
+  std::set<AskKey> by_start;  // All flows of the tier.
+};
+
+// Slot time that a flow has used, decayed.
+struct FlowUsage {
+  double micros = 0;
+  Time updated;
+};
+
+struct AskQueue {
+  std::map<Tier, TierQueue> tiers;
+  std::unordered_map<AttemptId, WaitingAsk> asks;
+  std::map<Flow, FlowUsage> usage;
+};
+
+void AddAsk(AskQueue& queue, WaitingAsk ask);
+std::optional<WaitingAsk> RemoveAsk(AskQueue& queue, const AttemptId& attempt);
+
+// Returns how many asks would be granted before one of `tier` that must start
+// by `latest_start`.
+size_t AsksAhead(const AskQueue& queue, Tier tier, Time latest_start);
+
+// Returns the ask of `tier` to grant next: of the flows that have not used more
+// than their share, the one that must start first.
+const WaitingAsk* NextOfTier(const AskQueue& queue, Tier tier, Time now);
+
+// Charges an expected slot time to the ask's flow.
+void ChargeFlow(AskQueue& queue,
+                const WaitingAsk& ask,
+                Duration hold,
+                Time now);
+
+// Returns the ask to push out for a newcomer of `tier`: the last of the lowest
+// tier, if that is lower than `tier`.
+const WaitingAsk* PushOutCandidate(const AskQueue& queue, Tier tier);
+
+// Returns the asks that `entry` made.
+std::vector<AttemptId> AsksOf(const AskQueue& queue, const InstanceName& entry);
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_CORE_ASK_QUEUE_H_
--- /dev/null
+++ b/src/core/config_history.cc
@@ -0,0 +1,361 @@
+#include "core/config_history.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+#include "core/json_reader.h"
+
+namespace pomeloring {
+namespace {
+
+namespace json = boost::json;
+
+constexpr int64_t kLargestOffset = INT64_MAX;
+
+json::object EncodeMarks(const std::map<std::string, MarkState>& marks) {
+  json::object object;
+  for (const auto& [target, state] : marks) {
+    object[target] = ToString(state);
+  }
+  return object;
+}
+
+struct Encoder {
+  json::object operator()(const PublishRecord& record) const {
+    json::object object{{"record", "publish"},
+                        {"publish_id", record.publish_id},
+                        {"base", record.base.value}};
+    if (record.changes.empty()) {
+      object["text"] = record.text;
+    } else {
+      object["changes"] = record.changes;
+    }
+    return object;
+  }
+  json::object operator()(const MarkRecord& record) const {
+    return {{"record", "mark"},
+            {"target", record.target},
+            {"state", ToString(record.state)}};
+  }
+  json::object operator()(const SnapshotRecord& record) const {
+    return {{"record", "snapshot"},
+            {"as_of", record.as_of.value},
+            {"revision", record.revision.value},
+            {"text", record.text},
+            {"marks", EncodeMarks(record.marks)}};
+  }
+};
+
+uint64_t ReadOffset(JsonReader& reader, std::string_view field) {
+  return static_cast<uint64_t>(reader.Int(field, 0, 0, kLargestOffset));
+}
+
+PublishRecord DecodePublish(JsonReader& reader) {
+  PublishRecord record;
+  record.publish_id = reader.String("publish_id");
+  record.base.value = ReadOffset(reader, "base");
+  record.text = reader.String("text", false);
+  record.changes = reader.String("changes", false);
+  return record;
+}
+
+MarkState ReadMark(JsonReader& reader, std::string_view field) {
+  const std::optional<MarkState> state = ParseMarkState(reader.String(field));
+  if (!state) {
+    reader.Fail(OutOfRange{std::string(field), "a mark"});
+  }
+  return state.value_or(MarkState::kInService);
+}
+
+MarkRecord DecodeMark(JsonReader& reader) {
+  MarkRecord record;
+  record.target = reader.String("target");
+  record.state = ReadMark(reader, "state");
+  return record;
+}
+
+SnapshotRecord DecodeSnapshot(JsonReader& reader) {
+  SnapshotRecord record;
+  record.as_of.value = ReadOffset(reader, "as_of");
+  record.revision.value = ReadOffset(reader, "revision");
+  record.text = reader.String("text", false);
+  const json::value* marks = reader.Raw("marks");
+  if (marks != nullptr && marks->is_object()) {
+    std::optional<ConfigurationError> error;
+    JsonReader mark_reader(*marks, "marks", error);
+    for (const auto& member : marks->get_object()) {
+      record.marks[std::string(member.key())] =
+          ReadMark(mark_reader, member.key());
+    }
+    if (error) {
+      reader.Fail(std::move(*error));
+    }
+  }
+  return record;
+}
+
+ConfigInForce EmptyConfig() {
+  ConfigInForce in_force;
+  in_force.configuration = std::make_shared<const Configuration>();
+  return in_force;
+}
+
+void KeepOutcome(ConfigHistory& history,
+                 const std::string& publish_id,
+                 PublishOutcome outcome) {
+  // A publish that was appended twice keeps its first outcome: the second
+  // append names a base that the first has just replaced.
+  if (!history.outcomes.emplace(publish_id, std::move(outcome)).second) {
+    return;
+  }
+  history.outcome_order.push_back(publish_id);
+  if (history.outcome_order.size() > kMostOutcomes) {
+    history.outcomes.erase(history.outcome_order.front());
+    history.outcome_order.erase(history.outcome_order.begin());
+  }
+}
+
+PublishOutcome DecidePublish(ConfigInForce& in_force,
+                             const PublishRecord& record,
+                             LogOffset offset) {
+  if (record.base != in_force.revision) {
+    return PublishConflict{record.base, in_force.revision};
+  }
+  std::string text = record.text;
+  if (!record.changes.empty()) {
+    auto applied = ApplyChanges(in_force.text, record.changes);
+    if (auto* error = std::get_if<ConfigurationError>(&applied)) {
+      return PublishInvalid{std::move(*error)};
+    }
+    text = std::move(std::get<std::string>(applied));
+  }
+  auto parsed = ParseConfiguration(text);
+  if (auto* error = std::get_if<ConfigurationError>(&parsed)) {
+    return PublishInvalid{std::move(*error)};
+  }
+  in_force.revision = Revision{offset.value};
+  in_force.text = std::move(text);
+  in_force.configuration = std::make_shared<const Configuration>(
+      std::move(std::get<Configuration>(parsed)));
+  return PublishAccepted{in_force.revision};
+}
+
+bool ApplyOne(ConfigHistory& history, const LogRecord& record) {
+  ConfigInForce& in_force = *history.in_force;
+  in_force.as_of = record.offset;
+  auto decoded = DecodeConfigRecord(record.payload);
+  auto* config_record = std::get_if<ConfigRecord>(&decoded);
+  if (config_record == nullptr) {
+    return false;
+  }
+  if (auto* publish = std::get_if<PublishRecord>(config_record)) {
+    const Revision before = in_force.revision;
+    KeepOutcome(history, publish->publish_id,
+                DecidePublish(in_force, *publish, record.offset));
+    return in_force.revision != before;
+  }
+  if (auto* mark = std::get_if<MarkRecord>(config_record)) {
+    MarkState& state = in_force.marks[mark->target];
+    const bool changed = state != mark->state;
+    state = mark->state;
+    if (state == MarkState::kInService) {
+      in_force.marks.erase(mark->target);
+    }
+    return changed;
+  }
+  return false;
+}
+
+// A reader that starts in the middle of the log can begin at a snapshot only
+// if it has read every record after the snapshot's `as_of`. Example: records
+// 40.. are retained and a snapshot at 57 is as of 30. A publish at 35, which
+// has expired, may have been accepted since; beginning there would revert it.
+bool TryBegin(ConfigHistory& history, LogOffset first_read) {
+  for (const LogRecord& record : history.waiting) {
+    auto decoded = DecodeConfigRecord(record.payload);
+    auto* config_record = std::get_if<ConfigRecord>(&decoded);
+    auto* snapshot = config_record == nullptr
+                         ? nullptr
+                         : std::get_if<SnapshotRecord>(config_record);
+    if (snapshot == nullptr || snapshot->as_of.value + 1 < first_read.value) {
+      continue;
+    }
+    auto parsed =
+        ParseConfiguration(snapshot->text.empty() ? "{}" : snapshot->text);
+    auto* configuration = std::get_if<Configuration>(&parsed);
+    if (configuration == nullptr) {
+      continue;
+    }
+    history.in_force = ConfigInForce{
+        snapshot->as_of, snapshot->revision, std::move(snapshot->text),
+        std::move(snapshot->marks),
+        std::make_shared<const Configuration>(std::move(*configuration))};
+    return true;
+  }
+  return false;
+}
+
+void NoteSnapshot(ConfigHistory& history, const LogRecord& record, Time now) {
+  // Cheap to test before the payload is parsed.
+  if (record.payload.find("\"snapshot\"") == std::string::npos) {
+    return;
+  }
+  auto decoded = DecodeConfigRecord(record.payload);
+  auto* config_record = std::get_if<ConfigRecord>(&decoded);
+  if (config_record != nullptr &&
+      std::holds_alternative<SnapshotRecord>(*config_record)) {
+    history.last_snapshot = record.offset;
+    history.last_snapshot_seen = now;
+  }
+}
+
+bool ApplyWaiting(ConfigHistory& history) {
+  bool changed = false;
+  for (const LogRecord& record : history.waiting) {
+    if (record.offset > history.in_force->as_of) {
+      changed |= ApplyOne(history, record);
+    }
+  }
+  history.waiting.clear();
+  return changed;
+}
+
+}  // namespace
+
+std::string EncodeConfigRecord(const ConfigRecord& record) {
+  return json::serialize(std::visit(Encoder{}, record));
+}
+
+std::variant<ConfigRecord, UnreadableRecord> DecodeConfigRecord(
+    std::string_view payload) {
+  json::error_code parse_error;
+  const json::value value = json::parse(payload, parse_error);
+  if (parse_error) {
+    return UnreadableRecord{"the record"};
+  }
+  std::optional<ConfigurationError> error;
+  JsonReader reader(value, "", error);
+  const std::string kind = reader.String("record");
+  ConfigRecord record;
+  if (kind == "publish") {
+    record = DecodePublish(reader);
+  } else if (kind == "mark") {
+    record = DecodeMark(reader);
+  } else if (kind == "snapshot") {
+    record = DecodeSnapshot(reader);
+  } else {
+    return UnreadableRecord{"record"};
+  }
+  if (error) {
+    return UnreadableRecord{Describe(*error)};
+  }
+  return record;
+}
+
+bool ApplyRecords(ConfigHistory& history,
+                  std::vector<LogRecord> records,
+                  LogOffset first_retained,
+                  Time now) {
+  std::erase_if(records, [&](const LogRecord& record) {
+    return record.offset < history.next_offset;
+  });
+  // Records that expired unread may have changed what is in force: forget
+  // where the reader was and begin again at a snapshot, but keep serving what
+  // it has until then.
+  const bool gap = first_retained > history.next_offset;
+  if (gap && history.in_force) {
+    history.waiting.clear();
+  }
+  const bool first_read_is_start =
+      history.next_offset.value == 1 && first_retained.value <= 1;
+  if (!history.in_force && first_read_is_start) {
+    history.in_force = EmptyConfig();
+  }
+  if (records.empty()) {
+    return false;
+  }
+  for (const LogRecord& record : records) {
+    NoteSnapshot(history, record, now);
+  }
+  history.next_offset = LogOffset{records.back().offset.value + 1};
+  history.waiting.insert(history.waiting.end(),
+                         std::make_move_iterator(records.begin()),
+                         std::make_move_iterator(records.end()));
+  const LogOffset first_read = history.waiting.front().offset;
+  const bool joins =
+      history.in_force && first_read.value <= history.in_force->as_of.value + 1;
+  if (joins) {
+    return ApplyWaiting(history);
+  }
+  const std::optional<ConfigInForce> before = history.in_force;
+  history.in_force.reset();
+  if (TryBegin(history, first_read)) {
+    ApplyWaiting(history);
+    return true;
+  }
+  history.in_force = before;
+  return false;
+}
+
+bool AdoptFromPeer(ConfigHistory& history, ConfigInForce peer_state, Time now) {
+  const bool ahead =
+      !history.in_force || peer_state.as_of > history.in_force->as_of;
+  if (!ahead) {
+    return false;
+  }
+  if (peer_state.configuration == nullptr) {
+    auto parsed =
+        ParseConfiguration(peer_state.text.empty() ? "{}" : peer_state.text);
+    auto* configuration = std::get_if<Configuration>(&parsed);
+    if (configuration == nullptr) {
+      return false;
+    }
+    peer_state.configuration =
+        std::make_shared<const Configuration>(std::move(*configuration));
+  }
+  history.in_force = std::move(peer_state);
+  history.next_offset = std::max(history.next_offset,
+                                 LogOffset{history.in_force->as_of.value + 1});
+  if (history.last_snapshot_seen == Time{}) {
+    history.last_snapshot_seen = now;
+  }
+  // Records that waited for a snapshot join the peer's state from here on.
+  ApplyWaiting(history);
+  return true;
+}
+
+std::optional<SnapshotRecord> SnapshotDue(const ConfigHistory& history,
+                                          Duration retention,
+                                          Time now) {
+  const bool has_config =
+      history.in_force && history.in_force->revision.value > 0;
+  if (!has_config || now - history.last_snapshot_seen < retention / 2) {
+    return std::nullopt;
+  }
+  return SnapshotRecord{history.in_force->as_of, history.in_force->revision,
+                        history.in_force->text, history.in_force->marks};
+}
+
+std::string_view ToString(MarkState state) {
+  switch (state) {
+    case MarkState::kInService:
+      return "in-service";
+    case MarkState::kLeaving:
+      return "leaving";
+    case MarkState::kStopping:
+      return "stopping";
+  }
+  return "in-service";
+}
+
+std::optional<MarkState> ParseMarkState(std::string_view text) {
+  for (MarkState state :
+       {MarkState::kInService, MarkState::kLeaving, MarkState::kStopping}) {
+    if (text == ToString(state)) {
+      return state;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/core/ids.h
@@ -0,0 +1,105 @@
+// Defines the identifiers and units that every part of pomeloring shares.
+
+#ifndef POMELORING_CORE_IDS_H_
+#define POMELORING_CORE_IDS_H_
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace pomeloring {
+
+// The core never reads a clock: callers pass the time in, so that a test can
+// drive it in virtual time.
+struct CoreClock {};
+using Duration = std::chrono::microseconds;
+using Time = std::chrono::time_point<CoreClock, Duration>;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A string that can't be mistaken for a name of another kind.
+template <typename Tag>
+struct StrongString {
+  std::string value;
+  auto operator<=>(const StrongString&) const = default;
+};
+
+// An integer that can't be mistaken for a number of another kind.
+template <typename Tag>
+struct StrongInt {
+  uint64_t value = 0;
+  auto operator<=>(const StrongInt&) const = default;
+};
+
+using InstanceName = StrongString<struct InstanceNameTag>;
+using UpstreamName = StrongString<struct UpstreamNameTag>;
+using ServiceName = StrongString<struct ServiceNameTag>;
+using ClassName = StrongString<struct ClassNameTag>;
+using AccountName = StrongString<struct AccountNameTag>;
+using FailureDomain = StrongString<struct FailureDomainTag>;
+using RegionName = StrongString<struct RegionNameTag>;
+using CellId = StrongString<struct CellIdTag>;
+
+// One life of an instance's process; a later life under the same name is
+// larger.
+using Incarnation = StrongInt<struct IncarnationTag>;
+// A position in the platform's log. The first record is at 1.
+using LogOffset = StrongInt<struct LogOffsetTag>;
+// The log offset of the publish record that is in force; 0 before the first.
+using Revision = StrongInt<struct RevisionTag>;
+
+// Tier 1 is the highest; a larger number is a lower tier.
+struct Tier {
+  uint32_t value = 1;
+  auto operator<=>(const Tier&) const = default;
+};
+
+// One request of a caller, unique over all instances and their lives.
+struct RequestId {
+  Incarnation incarnation;
+  uint64_t sequence = 0;
+  auto operator<=>(const RequestId&) const = default;
+};
+
+// One try of a request at an upstream.
+struct AttemptId {
+  RequestId request;
+  uint32_t number = 0;
+  auto operator<=>(const AttemptId&) const = default;
+};
+
+// Returns `id` as it stands in headers, logs and the time line.
+std::string ToString(const RequestId& id);
+
+// Returns a 64-bit hash of `text` that is the same on every instance.
+uint64_t StableHash(std::string_view text, uint64_t seed = 0);
+
+// Returns the next value of a splitmix64 generator and moves `state` on.
+uint64_t NextRandom(uint64_t& state);
+
+}  // namespace pomeloring
+
+template <typename Tag>
+struct std::hash<pomeloring::StrongString<Tag>> {
+  size_t operator()(const pomeloring::StrongString<Tag>& name) const noexcept {
+    return std::hash<std::string>{}(name.value);
+  }
+};
+
+template <>
+struct std::hash<pomeloring::RequestId> {
+  size_t operator()(const pomeloring::RequestId& id) const noexcept {
+    return id.sequence * 0x9E3779B97F4A7C15ULL ^ id.incarnation.value;
+  }
+};
+
+template <>
+struct std::hash<pomeloring::AttemptId> {
+  size_t operator()(const pomeloring::AttemptId& id) const noexcept {
+    return std::hash<pomeloring::RequestId>{}(id.request) * 31 + id.number;
+  }
+};
+
+#endif  // POMELORING_CORE_IDS_H_
--- /dev/null
+++ b/src/core/instance.h
@@ -0,0 +1,248 @@
+// Defines Instance: one pomeloring instance with all its roles, driven by
+// events and answering with actions. It does no I/O and reads no clock.
+
+#ifndef POMELORING_CORE_INSTANCE_H_
+#define POMELORING_CORE_INSTANCE_H_
+
+#include <array>
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/action.h"
+#include "core/cell.h"
+#include "core/cluster_view.h"
+#include "core/config_history.h"
+#include "core/entry.h"
+#include "core/idempotency_key.h"
+#include "core/key_claim.h"
+#include "core/membership.h"
+#include "core/timeline.h"
+
+namespace pomeloring {
+
+struct InstanceSettings {
+  Member self;
+  std::vector<std::string> seeds;  // UDP addresses of other members.
+  MembershipSettings membership;
+  CellSettings cell;
+  Duration log_retention = seconds(3600);
+  Duration running_report_interval = seconds(1);
+  Duration claim_patience = seconds(2);
+  size_t timeline_events = 65536;
+  uint64_t random_seed = 1;
+};
+
+struct MissingSetting {
+  std::string field;
+};
+using InstanceError = std::variant<MissingSetting>;
+
+// What an operator sees of a cell that this instance schedules.
+struct ReplicaSummary {
+  UpstreamName upstream;
+  uint32_t running = 0;
+  double limit = 0;
+  Duration step{0};
+  bool leaving = false;
+  bool ejected = false;
+};
+struct CellSummary {
+  CellId id;
+  bool is_scheduler = false;
+  std::map<Tier, size_t> waiting;
+  std::vector<ReplicaSummary> replicas;
+};
+
+// Safe to use from several threads: its state is in shards, each under its own
+// lock, and no two of these locks are ever held at once.
+class Instance {
+ public:
+  explicit Instance(InstanceSettings settings);
+  Instance(const Instance&) = delete;
+  Instance& operator=(const Instance&) = delete;
+
+  // Callers and upstreams.
+  RequestId NextRequestId();
+  Actions HandleCallerRequest(const CallerRequest& request, Time now);
+  Actions HandleCallerGone(const RequestId& request, Time now);
+  Actions HandleFirstToken(const AttemptId& attempt, Time now);
+  Actions HandleUpstreamEnded(const AttemptId& attempt,
+                              const AttemptOutcome& outcome,
+                              uint32_t tokens,
+                              Time now);
+  // A forwarded request has ended at its owner; the daemon answered the caller.
+  void HandleForwardEnded(const RequestId& request,
+                          std::string_view outcome,
+                          Time now);
+
+  // Other instances.
+  Actions HandleSlotMessage(const InstanceName& from,
+                            const SlotMessage& message,
+                            HybridTime stamp,
+                            Time now);
+  Actions HandleDatagram(std::string_view from_address,
+                         const MembershipMessage& message,
+                         Time now);
+  Actions HandlePeerConfiguration(ConfigInForce peer_state, Time now);
+
+  // The platform.
+  LogOffset NextOffset(LogStream stream) const;
+  Actions HandleLogRead(LogStream stream,
+                        std::vector<LogRecord> records,
+                        LogOffset first_retained,
+                        Time now);
+  Actions HandleLogReadFailed(LogStream stream, Time now);
+  Actions HandleAppendEnded(LogStream stream, bool succeeded, Time now);
+  // `leaving` are the upstreams that the platform's list marks; the lists lag.
+  Actions HandleInstanceList(const std::vector<std::string>& probe_addresses,
+                             const std::set<UpstreamName>& leaving,
+                             Time now);
+
+  // Time and the end.
+  Actions HandleTick(Time now);
+  Actions HandleStop(Time now);
+
+  // What is to be seen.
+  std::shared_ptr<const ClusterView> View() const;
+  bool IsReady() const;
+  size_t InFlight() const;
+  std::optional<ConfigInForce> ConfigurationInForce() const;
+  std::optional<PublishOutcome> OutcomeOf(const std::string& publish_id) const;
+  std::vector<Member> KnownMembers() const;
+  std::vector<CellSummary> Cells(Time now) const;
+  const Timeline& Events() const { return m_timeline; }
+  const InstanceSettings& Settings() const { return m_settings; }
+
+ private:
+  struct EntrySlot {
+    mutable std::mutex mutex;
+    EntryShard shard;
+  };
+  struct CellSlot {
+    mutable std::mutex mutex;
+    CellState cell;
+    LogOffset configured_as_of;
+  };
+  struct KeySlot {
+    mutable std::mutex mutex;
+    KeyTable table;
+  };
+  static constexpr size_t kShards = 8;
+
+  EntrySlot& EntryOf(const RequestId& request);
+  KeySlot& KeysOf(std::string_view key);
+  std::shared_ptr<CellSlot> FindCell(const CellId& id, const ClusterView& view);
+
+  void StartWithKey(const CallerRequest& request, Time now, Actions& out);
+  void StartOwned(const CallerRequest& request, Time now, Actions& out);
+  void StartUnkeyed(const CallerRequest& request,
+                    Time received,
+                    Time now,
+                    Actions& out);
+  void ForwardToOwner(const CallerRequest& request,
+                      Incarnation owner,
+                      Time now,
+                      Actions& out);
+  void ClaimKey(const CallerRequest& request, Time now, Actions& out);
+  void AppendClaims(Actions& out);
+  void FinishUnstarted(const CallerRequest& request,
+                       const Outcome& outcome,
+                       Time now,
+                       Actions& out);
+  std::optional<NotRun> RefusalBeforeStart(const CallerRequest& request,
+                                           Time now);
+
+  void TakeEntryOutput(EntryOutput output, Time now, Actions& out);
+  void TakeEnded(const RequestEnded& ended, Time now);
+  void TakeMembershipOutput(MembershipOutput output, Time now, Actions& out);
+  void TakeMemberChange(const Member& member, Time now, Actions& out);
+  void Deliver(const InstanceName& from,
+               const SlotMessage& message,
+               Time now,
+               Actions& out);
+  void DeliverToCell(const InstanceName& from,
+                     const SlotMessage& message,
+                     const CellId& cell,
+                     Time now,
+                     Actions& out);
+  void DeliverToEntry(const InstanceName& from,
+                      const SlotMessage& message,
+                      Time now,
+                      Actions& out);
+  // Takes the messages to this instance itself out of `out` and handles them,
+  // until none is left.
+  Actions DeliverLocally(Actions out, Time now);
+  void SendReplies(CellReplies replies,
+                   const ClusterView& view,
+                   Time now,
+                   Actions& out);
+
+  void RebuildView(Time now, Actions& out);
+  void ReconfigureCells(const ClusterView& view, Time now, Actions& out);
+  void TickCells(Time now, Actions& out);
+  void TickEntries(Time now, Actions& out);
+  void TickClaims(Time now, Actions& out);
+  void TickSnapshots(Time now, Actions& out);
+  void ReportRunning(Time now, Actions& out);
+  void RecordAction(const Action& action, Time now);
+
+  const InstanceSettings m_settings;
+  Timeline m_timeline;
+  std::atomic<uint64_t> m_next_request{1};
+  std::atomic<bool> m_stopping{false};
+
+  std::array<EntrySlot, kShards> m_entries;
+  std::array<KeySlot, kShards> m_keys;
+
+  mutable std::mutex m_cells_mutex;
+  std::map<CellId, std::shared_ptr<CellSlot>> m_cells;
+
+  mutable std::mutex m_claims_mutex;
+  ClaimLog m_claims;
+  std::map<RequestId, CallerRequest> m_claiming;
+
+  mutable std::mutex m_membership_mutex;
+  MembershipState m_membership;
+
+  mutable std::mutex m_config_mutex;
+  ConfigHistory m_history;
+  Time m_snapshot_at;
+  uint64_t m_random;
+
+  mutable std::mutex m_view_mutex;
+  std::shared_ptr<const ClusterView> m_view;
+  std::set<UpstreamName> m_leaving_by_platform;
+  Time m_next_running_report;
+
+  mutable std::mutex m_limits_mutex;
+  std::map<AccountName, uint32_t> m_in_flight;
+  std::map<ServiceName, Time> m_service_down_until;
+  std::map<CellId, bool> m_reported_running;
+};
+
+// Builds an Instance from checked settings.
+class InstanceBuilder {
+ public:
+  InstanceBuilder& WithSelf(Member self);
+  InstanceBuilder& WithSeeds(std::vector<std::string> seeds);
+  InstanceBuilder& WithMembership(MembershipSettings membership);
+  InstanceBuilder& WithCell(CellSettings cell);
+  InstanceBuilder& WithLogRetention(Duration retention);
+  InstanceBuilder& WithRandomSeed(uint64_t seed);
+  std::variant<std::unique_ptr<Instance>, InstanceError> Build();
+
+ private:
+  InstanceSettings m_settings;
+};
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_CORE_INSTANCE_H_
--- /dev/null
+++ b/src/core/json_reader.h
@@ -0,0 +1,55 @@
+// Defines JsonReader: reads one JSON object field by field and keeps the first
+// typed error, with the path of the field.
+
+#ifndef POMELORING_CORE_JSON_READER_H_
+#define POMELORING_CORE_JSON_READER_H_
+
+#include <boost/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/configuration.h"
+
+namespace pomeloring {
+
+// Every field read is remembered, so that Finish() can refuse the others.
+class JsonReader {
+ public:
+  JsonReader(const boost::json::value& value,
+             std::string path,
+             std::optional<ConfigurationError>& error);
+
+  std::string String(std::string_view field, bool required = true);
+  bool Bool(std::string_view field, bool fallback);
+  // Reads a whole number in [least, most].
+  int64_t Int(std::string_view field,
+              int64_t fallback,
+              int64_t least,
+              int64_t most);
+  Duration Millis(std::string_view field, Duration fallback = Duration{0});
+  std::vector<std::string> Strings(std::string_view field);
+  // Returns the objects of a list, with their paths; empty if there is none.
+  std::vector<JsonReader> Objects(std::string_view field);
+  std::optional<JsonReader> Object(std::string_view field);
+  const boost::json::value* Raw(std::string_view field);
+  // Refuses fields that no call has read.
+  void Finish();
+
+  std::string PathOf(std::string_view field) const;
+  void Fail(ConfigurationError error);
+
+ private:
+  const boost::json::value* Find(std::string_view field);
+
+  const boost::json::object* m_object = nullptr;
+  std::string m_path;
+  std::optional<ConfigurationError>* m_error;
+  std::set<std::string, std::less<>> m_read;
+};
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_CORE_JSON_READER_H_
--- /dev/null
+++ b/src/core/membership.h
@@ -0,0 +1,133 @@
+// Defines Membership: which instances live, found out by random probes and
+// spread by gossip (after SWIM), at a cost that does not grow with the fleet.
+
+#ifndef POMELORING_CORE_MEMBERSHIP_H_
+#define POMELORING_CORE_MEMBERSHIP_H_
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/ids.h"
+
+namespace pomeloring {
+
+enum class MemberStatus { kAlive, kSuspect, kDead, kLeft };
+
+std::string_view ToString(MemberStatus status);
+
+// One instance as others know it.
+struct Member {
+  InstanceName name;
+  Incarnation incarnation;
+  uint32_t version = 0;  // Raised by the member itself to refute a suspicion.
+  MemberStatus status = MemberStatus::kAlive;
+  bool leaving = false;
+  std::string probe_address;   // UDP, IP:port.
+  std::string link_address;    // gRPC, IP:port.
+  std::string caller_address;  // HTTP, IP:port.
+  FailureDomain failure_domain;
+  RegionName region;
+  auto operator<=>(const Member&) const = default;
+};
+
+enum class ProbeKind { kProbe, kProbeRequest, kAck, kSync, kSyncReply };
+
+// One datagram between members.
+struct MembershipMessage {
+  ProbeKind kind = ProbeKind::kProbe;
+  uint64_t sequence = 0;
+  Member sender;
+  InstanceName target;  // Of kProbeRequest: whom to probe. Of kSync and
+                        // kSyncReply: the last name of the list seen so far.
+  bool more = false;    // Of kSyncReply: the list goes on after `target`.
+  std::vector<Member> updates;
+  LogOffset config_as_of;
+};
+
+struct MembershipSettings {
+  Duration probe_interval = milliseconds(500);
+  Duration ack_timeout = milliseconds(150);
+  Duration suspicion = seconds(2);
+  Duration sync_interval = seconds(10);
+  Duration forget_dead = seconds(3600);
+  size_t indirect_probes = 3;
+  size_t updates_per_message = 6;
+  size_t members_per_sync = 10;
+};
+
+struct KnownMember {
+  Member member;
+  Time status_since;
+};
+
+struct PendingProbe {
+  InstanceName target;
+  uint64_t sequence = 0;
+  Time sent;
+  bool indirect = false;
+};
+
+// A probe that this member makes for another.
+struct RelayedProbe {
+  std::string origin_address;
+  uint64_t origin_sequence = 0;
+  Time sent;
+};
+
+struct GossipUpdate {
+  InstanceName name;
+  uint32_t times_sent = 0;
+};
+
+struct MembershipState {
+  MembershipSettings settings;
+  Member self;
+  std::vector<std::string> seeds;               // UDP addresses to start from.
+  std::map<InstanceName, KnownMember> members;  // Without `self`.
+  std::vector<InstanceName> probe_order;
+  std::vector<GossipUpdate> gossip;
+  std::optional<PendingProbe> pending;
+  std::map<uint64_t, RelayedProbe> relayed;  // By our own sequence.
+  uint64_t next_sequence = 1;
+  Time next_probe;
+  Time next_sync;
+  Time last_tick;
+  InstanceName sync_cursor;
+  bool superseded = false;  // A later life of this name is known.
+  LogOffset config_as_of;
+  uint64_t random = 1;
+};
+
+struct Datagram {
+  std::string address;
+  MembershipMessage message;
+};
+
+struct MembershipOutput {
+  std::vector<Datagram> datagrams;
+  std::vector<Member> changes;
+  // Set when the sender's configuration is newer than ours.
+  std::optional<Member> newer_config_at;
+};
+
+MembershipOutput TickMembership(MembershipState& state, Time now);
+
+MembershipOutput HandleMembershipMessage(MembershipState& state,
+                                         std::string_view from_address,
+                                         const MembershipMessage& message,
+                                         Time now);
+
+// Tells the others that this instance takes no new duties.
+MembershipOutput AnnounceLeaving(MembershipState& state, Time now);
+
+// Returns the members that may be given duties, `self` among them unless it is
+// leaving: alive or suspect, and not leaving.
+std::vector<Member> LiveMembers(const MembershipState& state);
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_CORE_MEMBERSHIP_H_
--- /dev/null
+++ b/src/core/messages.h
@@ -0,0 +1,100 @@
+// Defines the messages that instances send each other about slots.
+
+#ifndef POMELORING_CORE_MESSAGES_H_
+#define POMELORING_CORE_MESSAGES_H_
+
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "core/ids.h"
+
+namespace pomeloring {
+
+// Times cross between instances only as durations, since their clocks differ.
+
+enum class DeclineReason {
+  kOverloaded,       // The queue is full of equal or higher tiers.
+  kTooLate,          // The target can't be met by the estimate.
+  kNoUpstream,       // No upstream is in service.
+  kNotScheduler,     // The instance asked does not know the cell.
+  kAccountLimit,     // The account has too many requests in flight.
+  kDependencyDown,   // A service that this one depends on is down.
+  kNoScheduler,      // No scheduler answered in time.
+  kNotReady,         // The instance has no configuration yet.
+  kStopping,         // The instance is stopping.
+  kLogUnavailable,   // An opaque key can't be claimed now.
+  kKeyTableFull,     // No more idempotency keys can be kept.
+  kUpstreamRefused,  // Every upstream tried refused the request.
+};
+
+std::string_view ToString(DeclineReason reason);
+
+// Asks a cell's scheduler for a slot. Idempotent by `attempt`: asking again
+// renews the place in the queue.
+struct Ask {
+  AttemptId attempt;
+  CellId cell;
+  ClassName request_class;
+  AccountName account;
+  Duration time_left{0};  // Until the latest useful start.
+  Duration waited{0};     // Since the caller's request came in.
+  uint64_t prefix_hash = 0;
+  std::vector<UpstreamName> excluded;
+};
+
+struct Queued {
+  AttemptId attempt;
+  CellId cell;
+};
+
+struct Granted {
+  AttemptId attempt;
+  CellId cell;
+  UpstreamName upstream;
+};
+
+struct Declined {
+  AttemptId attempt;
+  DeclineReason reason = DeclineReason::kOverloaded;
+  Duration retry_after{0};
+};
+
+// Takes an ask back, or gives back a grant that was not used.
+struct Withdraw {
+  AttemptId attempt;
+  CellId cell;
+};
+
+enum class SlotOutcome { kAnswered, kCancelled, kNotStarted, kFailed };
+
+// Gives a used slot back, with what the entry saw.
+struct SlotReport {
+  AttemptId attempt;
+  CellId cell;
+  UpstreamName upstream;
+  SlotOutcome outcome = SlotOutcome::kAnswered;
+  Duration first_token{0};  // Zero: none came.
+  Duration total{0};
+  uint32_t tokens = 0;
+};
+
+struct RunningCount {
+  UpstreamName upstream;
+  uint32_t running = 0;
+};
+
+// What an entry runs in a cell: sent from time to time to the scheduler and
+// its successor, so that the successor starts warm and lost reports are found.
+struct RunningSlots {
+  InstanceName entry;
+  CellId cell;
+  std::vector<RunningCount> counts;
+};
+
+using SlotMessage = std::
+    variant<Ask, Queued, Granted, Declined, Withdraw, SlotReport, RunningSlots>;
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_CORE_MESSAGES_H_
--- /dev/null
+++ b/src/core/outcome.h
@@ -0,0 +1,85 @@
+// Defines Outcome: the typed final answer of a request, and what an attempt at
+// an upstream came to.
+
+#ifndef POMELORING_CORE_OUTCOME_H_
+#define POMELORING_CORE_OUTCOME_H_
+
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "core/ids.h"
+#include "core/messages.h"
+
+namespace pomeloring {
+
+// An answer that is kept, so that a repeated request gets it again.
+struct KeptAnswer {
+  uint32_t status = 200;
+  std::string content_type;
+  std::string body;
+};
+
+// The whole answer has reached the caller.
+struct Answered {};
+
+// The request was not run and never will be.
+struct NotRun {
+  DeclineReason reason = DeclineReason::kOverloaded;
+  Duration retry_after{0};
+};
+
+enum class UnknownReason {
+  kUpstreamLost,      // The upstream was lost after it may have started.
+  kOwnerGone,         // The instance that the key is bound to is gone.
+  kOwnerUnreachable,  // It lives, but did not answer.
+  kNoAnswerKept,      // The request ran, but its answer was too large to keep.
+  kCallerGone,        // The caller closed its connection.
+  kRetriesSpent,      // The retry budget or the time left is used up.
+};
+
+std::string_view ToString(UnknownReason reason);
+
+// The request may have run. It is not run again.
+struct OutcomeUnknown {
+  UnknownReason reason = UnknownReason::kUpstreamLost;
+};
+
+// The request ran before; this was its answer.
+struct Replayed {
+  std::shared_ptr<const KeptAnswer> answer;
+};
+
+// A request with this key is running now.
+struct KeyInProgress {
+  Duration retry_after{0};
+};
+
+// The key was used before, with another body.
+struct KeyReused {};
+
+using Outcome = std::variant<Answered,
+                             NotRun,
+                             OutcomeUnknown,
+                             Replayed,
+                             KeyInProgress,
+                             KeyReused>;
+
+// Returns the outcome's name in lower case with hyphens.
+std::string_view TypeName(const Outcome& outcome);
+
+// The upstream gave the whole answer.
+struct AttemptAnswered {
+  std::shared_ptr<const KeptAnswer> kept;  // Null unless it is to be kept.
+};
+// Provably not started: no byte left this instance, or the upstream refused.
+struct AttemptNotStarted {};
+// It may have started, and may still run.
+struct AttemptUnknown {};
+
+using AttemptOutcome =
+    std::variant<AttemptAnswered, AttemptNotStarted, AttemptUnknown>;
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_CORE_OUTCOME_H_
--- /dev/null
+++ b/src/ctl/command_line.h
@@ -0,0 +1,44 @@
+// Defines CommandLine: what an operator asked pomeloring-ctl to do.
+
+#ifndef POMELORING_CTL_COMMAND_LINE_H_
+#define POMELORING_CTL_COMMAND_LINE_H_
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pomeloring {
+
+struct CommandLine {
+  std::vector<std::string> words;   // The command and its arguments.
+  std::string platform;             // IP:port.
+  std::vector<std::string> admins;  // IP:port each.
+  std::string key;
+  std::optional<uint64_t> base;
+  bool is_change = false;
+  bool json = false;
+  std::string request;  // Filters of the time line.
+  std::string kind;
+  std::string format = "text";
+  int wait_seconds = 20;
+};
+
+enum class CommandLineEnd { kHelp, kVersion, kUsage };
+
+std::variant<CommandLine, CommandLineEnd> ParseCommandLine(int argc,
+                                                           char** argv);
+
+extern const char kCtlUsage[];
+
+// Exit codes, for scripts.
+inline constexpr int kExitOk = 0;
+inline constexpr int kExitUsage = 2;
+inline constexpr int kExitInvalid = 3;
+inline constexpr int kExitConflict = 4;
+inline constexpr int kExitUnreachable = 5;
+inline constexpr int kExitUnknown = 6;
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_CTL_COMMAND_LINE_H_
--- /dev/null
+++ b/src/ctl/commands.cc
@@ -0,0 +1,424 @@
+#include "ctl/commands.h"
+
+#include <fmt/format.h>
+
+#include <boost/json.hpp>
+#include <fstream>
+#include <random>
+#include <set>
+#include <sstream>
+
+#include "core/config_history.h"
+#include "core/configuration.h"
+#include "ctl/admin_client.h"
+#include "ctl/timeline_report.h"
+
+namespace pomeloring {
+namespace {
+
+namespace json = boost::json;
+
+int Fail(int code, std::string_view message) {
+  fmt::print(stderr, "pomeloring-ctl: {}\n", message);
+  return code;
+}
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::string NewPublishId() {
+  std::random_device random;
+  return fmt::format("{:08x}{:08x}{:08x}", random(), random(), random());
+}
+
+int FailInvalid(const CommandLine& line, const ConfigurationError& error) {
+  if (line.json) {
+    fmt::print("{}\n",
+               json::serialize(json::object{{"valid", false},
+                                            {"error", TypeName(error)},
+                                            {"detail", Describe(error)}}));
+    return kExitInvalid;
+  }
+  return Fail(kExitInvalid,
+              fmt::format("{}: {}", TypeName(error), Describe(error)));
+}
+
+int Check(const CommandLine& line) {
+  const auto text = ReadFile(line.words[1]);
+  if (!text) {
+    return Fail(kExitUsage, line.words[1] + " can't be read; check the path");
+  }
+  const auto parsed = ParseConfiguration(*text);
+  if (const auto* error = std::get_if<ConfigurationError>(&parsed)) {
+    return FailInvalid(line, *error);
+  }
+  const auto& configuration = std::get<Configuration>(parsed);
+  const json::object counts{{"valid", true},
+                            {"services", configuration.services.size()},
+                            {"classes", configuration.classes.size()},
+                            {"accounts", configuration.accounts.size()}};
+  if (line.json) {
+    fmt::print("{}\n", json::serialize(counts));
+  } else {
+    fmt::print("{}: good, {} services, {} classes, {} accounts\n",
+               line.words[1], configuration.services.size(),
+               configuration.classes.size(), configuration.accounts.size());
+  }
+  return kExitOk;
+}
+
+std::map<std::string, std::string> EntriesOf(std::string_view text) {
+  std::map<std::string, std::string> entries;
+  json::error_code error;
+  const json::value value = json::parse(text.empty() ? "{}" : text, error);
+  if (error || !value.is_object()) {
+    return entries;
+  }
+  for (const auto& section : value.get_object()) {
+    if (!section.value().is_array()) {
+      continue;
+    }
+    for (const json::value& entry : section.value().get_array()) {
+      const json::value* name =
+          entry.is_object() ? entry.get_object().if_contains("name") : nullptr;
+      if (name != nullptr && name->is_string()) {
+        entries[fmt::format("{}/{}", std::string_view(section.key()),
+                            std::string_view(name->get_string()))] =
+            json::serialize(entry);
+      }
+    }
+  }
+  return entries;
+}
+
+void PrintDifference(std::string_view before, std::string_view after) {
+  const auto old_entries = EntriesOf(before);
+  const auto new_entries = EntriesOf(after);
+  for (const auto& [name, entry] : old_entries) {
+    const auto it = new_entries.find(name);
+    if (it == new_entries.end()) {
+      fmt::print("- {}\n", name);
+    } else if (it->second != entry) {
+      fmt::print("~ {}\n", name);
+    }
+  }
+  for (const auto& [name, entry] : new_entries) {
+    if (!old_entries.contains(name)) {
+      fmt::print("+ {}\n", name);
+    }
+  }
+}
+
+int ReportOutcome(const CommandLine& line, const PublishOutcome& outcome) {
+  if (const auto* accepted = std::get_if<PublishAccepted>(&outcome)) {
+    if (line.json) {
+      fmt::print("{}\n", json::serialize(json::object{
+                             {"outcome", "accepted"},
+                             {"revision", accepted->revision.value}}));
+    } else {
+      fmt::print("accepted as revision {}\n", accepted->revision.value);
+    }
+    return kExitOk;
+  }
+  if (const auto* conflict = std::get_if<PublishConflict>(&outcome)) {
+    if (line.json) {
+      fmt::print("{}\n", json::serialize(json::object{
+                             {"outcome", "conflict"},
+                             {"named", conflict->named.value},
+                             {"in_force", conflict->in_force.value}}));
+      return kExitConflict;
+    }
+    return Fail(kExitConflict,
+                fmt::format("conflict: --base names {}, but {} is in force; "
+                            "look at it, merge and publish again",
+                            conflict->named.value, conflict->in_force.value));
+  }
+  return FailInvalid(line, std::get<PublishInvalid>(outcome).error);
+}
+
+// Appends and reads back: the log's order decides, and a lost reply to the
+// append does not matter.
+int AppendAndReadBack(const CommandLine& line,
+                      const std::string& publish_id,
+                      const std::string& payload,
+                      ConfigHistory history) {
+  const AppendEnd end = AppendToConfigLog(line.platform, payload, publish_id);
+  if (end == AppendEnd::kRefused) {
+    return Fail(kExitUnreachable, "the platform refused; nothing was changed");
+  }
+  const auto read = ReadConfigLog(line.platform, std::move(history), publish_id,
+                                  std::chrono::seconds(line.wait_seconds));
+  const auto* after = std::get_if<ConfigHistory>(&read);
+  const auto outcome = after == nullptr ? decltype(after->outcomes.end()){}
+                                        : after->outcomes.find(publish_id);
+  if (after == nullptr || outcome == after->outcomes.end()) {
+    return Fail(kExitUnknown,
+                "the outcome is unknown; 'show config' tells it later");
+  }
+  return ReportOutcome(line, outcome->second);
+}
+
+int Publish(const CommandLine& line) {
+  const auto text = ReadFile(line.words[1]);
+  if (!text) {
+    return Fail(kExitUsage, line.words[1] + " can't be read; check the path");
+  }
+  if (!line.base) {
+    return Fail(kExitUsage, "name the revision to replace with --base");
+  }
+  auto read = ReadConfigLog(line.platform, {}, "", std::chrono::seconds(0));
+  auto* history = std::get_if<ConfigHistory>(&read);
+  if (history == nullptr) {
+    return Fail(kExitUnreachable,
+                "the platform can't be read; nothing was changed");
+  }
+  const std::string before =
+      history->in_force ? history->in_force->text : std::string();
+  std::string after = *text;
+  if (line.is_change) {
+    auto applied = ApplyChanges(before, *text);
+    if (const auto* error = std::get_if<ConfigurationError>(&applied)) {
+      return FailInvalid(line, *error);
+    }
+    after = std::get<std::string>(applied);
+  }
+  const auto parsed = ParseConfiguration(after);
+  if (const auto* error = std::get_if<ConfigurationError>(&parsed)) {
+    return FailInvalid(line, *error);
+  }
+  if (!line.json) {
+    PrintDifference(before, after);
+  }
+  PublishRecord record;
+  record.publish_id = NewPublishId();
+  record.base = Revision{*line.base};
+  (line.is_change ? record.changes : record.text) = *text;
+  return AppendAndReadBack(line, record.publish_id, EncodeConfigRecord(record),
+                           std::move(*history));
+}
+
+int Mark(const CommandLine& line) {
+  const auto state = ParseMarkState(line.words[2]);
+  if (!state) {
+    return Fail(kExitUsage, "the state is in-service, leaving or stopping");
+  }
+  const AppendEnd end = AppendToConfigLog(
+      line.platform, EncodeConfigRecord(MarkRecord{line.words[1], *state}),
+      NewPublishId());
+  switch (end) {
+    case AppendEnd::kAppended:
+      fmt::print("{} is marked {}\n", line.words[1], line.words[2]);
+      return kExitOk;
+    case AppendEnd::kRefused:
+      return Fail(kExitUnreachable, "the platform refused; nothing changed");
+    case AppendEnd::kUnknown:
+      return Fail(kExitUnknown, "no reply; mark it again, that is harmless");
+  }
+  return kExitUnknown;
+}
+
+int FailAdmin(const AdminResult& result) {
+  if (const auto* refused = std::get_if<AdminRefused>(&result)) {
+    return Fail(kExitUnreachable, Describe(*refused));
+  }
+  return Fail(kExitUnreachable, Describe(std::get<AdminUnreachable>(result)));
+}
+
+std::string Cell(const json::value& value) {
+  return value.is_string() ? std::string(value.get_string())
+                           : json::serialize(value);
+}
+
+// Prints a list of objects as a table; the columns are those of the first.
+void PrintTable(const json::array& rows) {
+  if (rows.empty()) {
+    return;
+  }
+  std::vector<std::string> names;
+  std::vector<size_t> widths;
+  for (const auto& column : rows[0].as_object()) {
+    names.emplace_back(column.key());
+    widths.push_back(column.key().size());
+  }
+  for (const json::value& row : rows) {
+    for (size_t i = 0; i < names.size(); ++i) {
+      widths[i] =
+          std::max(widths[i], Cell(row.as_object().at(names[i])).size());
+    }
+  }
+  const auto print_row = [&](const auto& text_of) {
+    for (size_t i = 0; i < names.size(); ++i) {
+      fmt::print("{:<{}}  ", text_of(i), widths[i]);
+    }
+    fmt::print("\n");
+  };
+  print_row([&](size_t i) { return names[i]; });
+  for (const json::value& row : rows) {
+    print_row([&](size_t i) { return Cell(row.as_object().at(names[i])); });
+  }
+}
+
+int ShowCells(const json::value& reply) {
+  for (const json::value& cell : reply.as_object().at("cells").as_array()) {
+    const json::object& object = cell.as_object();
+    fmt::print("cell {} scheduler-here={} waiting by tier {}\n",
+               Cell(object.at("cell")), Cell(object.at("is_scheduler")),
+               Cell(object.at("waiting")));
+    PrintTable(object.at("replicas").as_array());
+  }
+  return kExitOk;
+}
+
+int ShowConfig(const json::value& reply) {
+  const json::object& object = reply.as_object();
+  if (!object.at("known").as_bool()) {
+    return Fail(kExitUnreachable, "the instance has no configuration yet");
+  }
+  fmt::print("revision {} (log read to {})\nmarks {}\n{}\n",
+             Cell(object.at("revision")), Cell(object.at("as_of")),
+             json::serialize(object.at("marks")), Cell(object.at("text")));
+  return kExitOk;
+}
+
+int ShowClasses(const json::value& reply) {
+  const auto parsed = ParseConfiguration(Cell(reply.as_object().at("text")));
+  const auto* configuration = std::get_if<Configuration>(&parsed);
+  if (configuration == nullptr) {
+    return Fail(kExitInvalid, "this version can't read the text in force");
+  }
+  json::array rows;
+  for (const auto& [name, of_class] : configuration->classes) {
+    const auto ms = [](Duration duration) { return duration.count() / 1000; };
+    rows.push_back(json::object{
+        {"class", name.value},
+        {"service", of_class.service.value},
+        {"tier", of_class.tier.value},
+        {"first_token_ms", ms(of_class.first_token_target)},
+        {"between_tokens_ms", ms(of_class.between_tokens_target)},
+        {"answer_ms", ms(of_class.answer_target)},
+        {"idempotent", of_class.idempotent},
+        {"when_late",
+         of_class.when_late == WhenLate::kDrop ? "drop" : "serve"}});
+  }
+  PrintTable(rows);
+  return kExitOk;
+}
+
+int Show(const CommandLine& line) {
+  const std::string& what = line.words[1];
+  static const std::map<std::string, std::string> kPaths = {
+      {"config", "/v1/config"},
+      {"classes", "/v1/config"},
+      {"members", "/v1/members"},
+      {"entries", "/v1/members"},
+      {"cells", "/v1/cells"}};
+  const auto path = kPaths.find(what);
+  if (path == kPaths.end() || line.admins.empty()) {
+    return Fail(kExitUsage,
+                "show config, classes, members, cells or entries, and name an "
+                "instance with --admin");
+  }
+  const AdminResult result =
+      GetFromAdmin(line.admins.front(), line.key, path->second);
+  const auto* reply = std::get_if<json::value>(&result);
+  if (reply == nullptr) {
+    return FailAdmin(result);
+  }
+  if (line.json) {
+    fmt::print("{}\n", json::serialize(*reply));
+    return kExitOk;
+  }
+  if (what == "config") {
+    return ShowConfig(*reply);
+  }
+  if (what == "classes") {
+    return ShowClasses(*reply);
+  }
+  if (what == "cells") {
+    return ShowCells(*reply);
+  }
+  PrintTable(reply->as_object().at("members").as_array());
+  return kExitOk;
+}
+
+int Stop(const CommandLine& line) {
+  if (line.admins.size() != 1) {
+    return Fail(kExitUsage, "name the one instance to stop with --admin");
+  }
+  const AdminResult result =
+      PostToAdmin(line.admins.front(), line.key, "/v1/stop");
+  if (!std::holds_alternative<json::value>(result)) {
+    return FailAdmin(result);
+  }
+  fmt::print("{} is stopping\n", line.admins.front());
+  return kExitOk;
+}
+
+int ShowTimeline(const CommandLine& line) {
+  std::vector<ReportedEvent> events;
+  size_t reached = 0;
+  for (const std::string& address : line.admins) {
+    const AdminResult result = GetFromAdmin(address, line.key, "/v1/timeline");
+    const auto* reply = std::get_if<json::value>(&result);
+    if (reply == nullptr) {
+      FailAdmin(result);
+      continue;
+    }
+    ++reached;
+    AddEvents(events, *reply, {line.request, line.kind});
+  }
+  if (reached == 0) {
+    return Fail(kExitUnreachable, "no instance was reached; see --admin");
+  }
+  SortCausally(events);
+  if (line.format == "chrome") {
+    fmt::print("{}", WriteChromeTrace(events));
+  } else if (line.format == "jsonl" || line.json) {
+    fmt::print("{}", WriteJsonLines(events));
+  } else {
+    fmt::print("{}", WriteText(events));
+  }
+  return kExitOk;
+}
+
+struct Command {
+  std::string_view name;
+  size_t words;
+  bool needs_platform;
+  int (*run)(const CommandLine&);
+};
+
+constexpr Command kCommands[] = {
+    {"check", 2, false, Check}, {"publish", 2, true, Publish},
+    {"mark", 3, true, Mark},    {"show", 2, false, Show},
+    {"stop", 1, false, Stop},   {"timeline", 1, false, ShowTimeline},
+};
+
+}  // namespace
+
+int RunCommand(const CommandLine& line) {
+  for (const Command& command : kCommands) {
+    if (command.name != line.words[0]) {
+      continue;
+    }
+    if (line.words.size() != command.words) {
+      return Fail(kExitUsage, fmt::format("{} takes {} argument(s); see --help",
+                                          command.name, command.words - 1));
+    }
+    if (command.needs_platform && line.platform.empty()) {
+      return Fail(kExitUsage, "name the platform with --platform");
+    }
+    return command.run(line);
+  }
+  return Fail(kExitUsage,
+              fmt::format("unknown command {}; see --help", line.words[0]));
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/ctl/timeline_report.cc
@@ -0,0 +1,121 @@
+#include "ctl/timeline_report.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <map>
+#include <tuple>
+
+namespace pomeloring {
+namespace {
+
+namespace json = boost::json;
+
+std::string TextOf(const json::object& event, std::string_view field) {
+  const json::value* value = event.if_contains(field);
+  return value != nullptr && value->is_string()
+             ? std::string(value->get_string())
+             : std::string();
+}
+
+int64_t NumberOf(const json::object& event, std::string_view field) {
+  const json::value* value = event.if_contains(field);
+  return value != nullptr && value->is_int64() ? value->get_int64() : 0;
+}
+
+json::object ToJson(const ReportedEvent& event) {
+  return {{"micros", event.micros},     {"counter", event.counter},
+          {"instance", event.instance}, {"kind", event.kind},
+          {"request", event.request},   {"subject", event.subject},
+          {"detail", event.detail}};
+}
+
+}  // namespace
+
+void AddEvents(std::vector<ReportedEvent>& events,
+               const json::value& reply,
+               const TimelineFilter& filter) {
+  const json::object* object = reply.if_object();
+  const json::value* list =
+      object == nullptr ? nullptr : object->if_contains("events");
+  if (list == nullptr || !list->is_array()) {
+    return;
+  }
+  for (const json::value& value : list->get_array()) {
+    if (!value.is_object()) {
+      continue;
+    }
+    const json::object& from = value.get_object();
+    ReportedEvent event{NumberOf(from, "micros"), NumberOf(from, "counter"),
+                        TextOf(from, "instance"), TextOf(from, "kind"),
+                        TextOf(from, "request"),  TextOf(from, "subject"),
+                        TextOf(from, "detail")};
+    const bool passes =
+        (filter.request.empty() || filter.request == event.request) &&
+        (filter.kind.empty() || filter.kind == event.kind);
+    if (passes) {
+      events.push_back(std::move(event));
+    }
+  }
+}
+
+void SortCausally(std::vector<ReportedEvent>& events) {
+  std::stable_sort(events.begin(), events.end(),
+                   [](const ReportedEvent& a, const ReportedEvent& b) {
+                     return std::tie(a.micros, a.counter, a.instance) <
+                            std::tie(b.micros, b.counter, b.instance);
+                   });
+}
+
+std::string WriteText(std::span<const ReportedEvent> events) {
+  std::string out;
+  for (const ReportedEvent& event : events) {
+    const std::chrono::sys_time<std::chrono::microseconds> time{
+        std::chrono::microseconds{event.micros}};
+    out +=
+        fmt::format("{:%T} {:<12} {:<22} {:<24} {} {}\n", time, event.instance,
+                    event.kind, event.request.empty() ? "-" : event.request,
+                    event.subject, event.detail);
+  }
+  return out;
+}
+
+std::string WriteJsonLines(std::span<const ReportedEvent> events) {
+  std::string out;
+  for (const ReportedEvent& event : events) {
+    out += json::serialize(ToJson(event)) + "\n";
+  }
+  return out;
+}
+
+// One process for each instance, one thread for each request.
+std::string WriteChromeTrace(std::span<const ReportedEvent> events) {
+  std::map<std::string, int> processes;
+  std::map<std::string, int> requests;
+  json::array trace;
+  for (const ReportedEvent& event : events) {
+    const auto [process, is_new] = processes.emplace(
+        event.instance, static_cast<int>(processes.size()) + 1);
+    if (is_new) {
+      trace.push_back(
+          json::object{{"name", "process_name"},
+                       {"ph", "M"},
+                       {"pid", process->second},
+                       {"args", json::object{{"name", event.instance}}}});
+    }
+    const auto request =
+        requests.emplace(event.request, static_cast<int>(requests.size()) + 1);
+    trace.push_back(json::object{{"name", event.kind},
+                                 {"ph", "i"},
+                                 {"s", "t"},
+                                 {"ts", event.micros},
+                                 {"pid", process->second},
+                                 {"tid", request.first->second},
+                                 {"args", ToJson(event)}});
+  }
+  return json::serialize(json::object{{"traceEvents", trace}}) + "\n";
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/daemon/log.h
@@ -0,0 +1,49 @@
+// Defines Log: structured lines to standard error, one JSON object each.
+
+#ifndef POMELORING_DAEMON_LOG_H_
+#define POMELORING_DAEMON_LOG_H_
+
+#include <chrono>
+#include <initializer_list>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace pomeloring {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+struct LogField {
+  std::string_view name;
+  std::string value;
+};
+
+// Safe to use from several threads. Lines of one event above a rate are counted
+// and left out.
+class Log {
+ public:
+  Log(std::string instance, LogLevel least);
+
+  void Write(LogLevel level,
+             std::string_view event,
+             std::initializer_list<LogField> fields);
+
+ private:
+  struct EventRate {
+    std::chrono::steady_clock::time_point window;
+    int lines = 0;
+    int left_out = 0;
+  };
+
+  const std::string m_instance;
+  const LogLevel m_least;
+  std::mutex m_mutex;
+  std::map<std::string, EventRate, std::less<>> m_rates;
+};
+
+LogLevel ParseLogLevel(std::string_view text);
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_DAEMON_LOG_H_
--- /dev/null
+++ b/src/daemon/metrics.h
@@ -0,0 +1,34 @@
+// Defines Metrics: counts and times by request class, written in the Prometheus
+// text format.
+
+#ifndef POMELORING_DAEMON_METRICS_H_
+#define POMELORING_DAEMON_METRICS_H_
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "core/instance.h"
+#include "link/caller_api.h"
+
+namespace pomeloring {
+
+class Metrics {
+ public:
+  Metrics();
+  ~Metrics();
+
+  // Safe to call from several threads.
+  void Add(const RequestSummary& summary);
+  std::string Write(const Instance& instance, Time now) const;
+
+ private:
+  struct ClassMetrics;
+  mutable std::mutex m_mutex;
+  std::map<ClassName, std::unique_ptr<ClassMetrics>> m_classes;
+};
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_DAEMON_METRICS_H_
--- /dev/null
+++ b/src/daemon/node.cc
@@ -0,0 +1,402 @@
+#include "daemon/node.h"
+
+#include <fmt/format.h>
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <future>
+#include <random>
+
+#include "daemon/admin_api.h"
+#include "daemon/log.h"
+#include "daemon/metrics.h"
+#include "link/address.h"
+#include "link/caller_api.h"
+#include "link/clock.h"
+#include "link/codec.h"
+#include "link/io_threads.h"
+#include "link/problem.h"
+#include "link/session.h"
+#include "platform/platform.h"
+
+namespace pomeloring {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+
+constexpr std::chrono::milliseconds kTickInterval{10};
+constexpr std::chrono::milliseconds kLogWait{2000};
+constexpr std::chrono::milliseconds kLogRetry{500};
+constexpr std::chrono::milliseconds kListInterval{2000};
+constexpr std::chrono::milliseconds kDrainPoll{50};
+// The time for all others to hear that this instance is leaving, after which
+// no address answer names it any more.
+constexpr std::chrono::seconds kLeavingSpread{3};
+constexpr std::chrono::milliseconds kLastWrites{200};
+constexpr size_t kLargestDatagram = 64 * 1024;
+
+auto Await(error_code& error) {
+  return asio::redirect_error(asio::use_awaitable, error);
+}
+
+Incarnation NewIncarnation() {
+  return Incarnation{static_cast<uint64_t>(Now().time_since_epoch().count())};
+}
+
+Member SelfOf(const NodeSettings& settings) {
+  Member self;
+  self.name.value = settings.name;
+  self.incarnation = NewIncarnation();
+  self.probe_address = settings.probe_address;
+  self.link_address = settings.link_address;
+  self.caller_address = settings.caller_address;
+  self.failure_domain.value = settings.failure_domain;
+  self.region.value = settings.region;
+  return self;
+}
+
+class RunningNode final : public Node {
+ public:
+  RunningNode(NodeSettings settings, std::unique_ptr<Instance> instance)
+      : m_settings(std::move(settings)),
+        m_log(m_settings.name, ParseLogLevel(m_settings.log_level)),
+        m_instance(std::move(instance)),
+        m_threads(static_cast<size_t>(m_settings.threads)),
+        m_probe_socket(m_threads.First()),
+        m_signals(m_threads.First(), SIGTERM, SIGINT),
+        m_platform(MakeHttpPlatform(m_settings.platform_address,
+                                    m_settings.platform_deadline)),
+        m_caller_parts{*m_instance,
+                       m_sessions,
+                       m_pool,
+                       [this](Actions actions) { Run(std::move(actions)); },
+                       [this](const RequestSummary& s) { m_metrics.Add(s); },
+                       {.keep_addresses = m_settings.keep_addresses}},
+        m_admin_parts{*m_instance, m_metrics, m_settings.admin_key_sha256,
+                      [this] { Stop(); }} {}
+
+  ~RunningNode() override { m_threads.Stop(); }
+
+  std::optional<NodeError> Listen() {
+    if (auto error = ListenForProbes()) {
+      return error;
+    }
+    PeerLinkHandlers handlers;
+    handlers.on_messages = [this](const InstanceName& from,
+                                  std::vector<SlotMessage> messages,
+                                  HybridTime stamp) {
+      for (const SlotMessage& message : messages) {
+        Run(m_instance->HandleSlotMessage(from, message, stamp, Now()));
+      }
+    };
+    handlers.configuration = [this] {
+      return m_instance->ConfigurationInForce();
+    };
+    handlers.on_configuration = [this](ConfigInForce state) {
+      Run(m_instance->HandlePeerConfiguration(std::move(state), Now()));
+    };
+    auto link = StartPeerLink({m_settings.name}, m_settings.link_address,
+                              std::move(handlers));
+    if (auto* error = std::get_if<LinkAddressUnusable>(&link)) {
+      return *error;
+    }
+    m_link = std::get<std::unique_ptr<PeerLink>>(std::move(link));
+    if (auto error = ListenHttp(m_settings.caller_address, m_caller_server,
+                                [this](HttpExchange& exchange) {
+                                  return ServeCaller(m_caller_parts, exchange);
+                                })) {
+      return error;
+    }
+    return ListenHttp(m_settings.admin_address, m_admin_server,
+                      [this](HttpExchange& exchange) {
+                        return ServeAdmin(m_admin_parts, exchange);
+                      });
+  }
+
+  NodeEnd Run() override {
+    Spawn(ReceiveProbes());
+    Spawn(TickLoop());
+    Spawn(ReadLoop(LogStream::kConfiguration));
+    Spawn(ReadLoop(LogStream::kClaims));
+    Spawn(ListLoop());
+    m_signals.async_wait([this](error_code error, int) {
+      if (!error) {
+        Stop();
+      }
+    });
+    m_log.Write(LogLevel::kInfo, "started",
+                {{"caller_address", m_settings.caller_address}});
+    std::future<NodeEnd> end = m_end.get_future();
+    m_threads.Start();
+    const NodeEnd result = end.get();
+    m_log.Write(LogLevel::kInfo, "stopped",
+                {{"in_flight", std::to_string(m_instance->InFlight())}});
+    m_link->Shutdown();
+    m_threads.Stop();
+    return result;
+  }
+
+  void Stop() override {
+    if (m_stop_begun.exchange(true)) {
+      return;
+    }
+    m_log.Write(LogLevel::kInfo, "stopping", {});
+    Run(m_instance->HandleStop(Now()));
+    Spawn(Drain());
+  }
+
+ private:
+  void Spawn(asio::awaitable<void> task) {
+    asio::co_spawn(m_threads.First(), std::move(task), asio::detached);
+  }
+
+  std::optional<NodeError> ListenForProbes() {
+    const auto endpoint = ParseUdpAddress(m_settings.probe_address);
+    error_code error;
+    m_probe_socket.open(endpoint->protocol(), error);
+    m_probe_socket.bind(*endpoint, error);
+    if (error) {
+      return AddressUnusable{m_settings.probe_address, error.message()};
+    }
+    m_probe_socket.non_blocking(true, error);
+    return std::nullopt;
+  }
+
+  std::optional<NodeError> ListenHttp(const std::string& address,
+                                      std::shared_ptr<HttpServer>& server,
+                                      HttpHandler handler) {
+    auto started = StartHttpServer(m_threads, address, {}, std::move(handler),
+                                   ProblemForStatus);
+    if (auto* error = std::get_if<AddressUnusable>(&started)) {
+      return *error;
+    }
+    server = std::get<std::shared_ptr<HttpServer>>(std::move(started));
+    return std::nullopt;
+  }
+
+  // --- Carrying out actions --------------------------------------------------
+
+  void Run(Actions actions) {
+    for (Action& action : actions) {
+      std::visit([this](auto& typed) { Do(typed); }, action);
+    }
+  }
+
+  void Do(SendSlotMessage& send) {
+    if (!send.link_address.empty()) {
+      m_link->Send(send.link_address, std::move(send.message),
+                   m_instance->Events().Last());
+    }
+  }
+
+  void Do(SendDatagram& send) {
+    const auto endpoint = ParseUdpAddress(send.address);
+    if (!endpoint) {
+      return;
+    }
+    // A probe that can't be sent now is as good as lost.
+    error_code ignored;
+    const std::string bytes = EncodeDatagram(send.message);
+    const std::lock_guard lock(m_probe_mutex);
+    m_probe_socket.send_to(asio::buffer(bytes), *endpoint, 0, ignored);
+  }
+
+  void Do(StartUpstream& start) {
+    m_sessions.Post(start.attempt.request, start);
+  }
+  void Do(CancelUpstream& cancel) {
+    m_sessions.Post(cancel.attempt.request, cancel);
+  }
+  void Do(FinishRequest& finish) { m_sessions.Post(finish.request, finish); }
+  void Do(ForwardRequest& forward) {
+    m_sessions.Post(forward.request, forward);
+  }
+  void Do(AppendRecord& append) { Spawn(Append(std::move(append))); }
+  void Do(FetchConfiguration& fetch) { m_link->Fetch(fetch.link_address); }
+  void Do(SendOrder&) {}
+  void Do(StopSuperseded&) {
+    m_log.Write(LogLevel::kError, "superseded",
+                {{"advice", "another process has this name; rename one"}});
+    End(NodeEnd::kSuperseded);
+  }
+
+  void End(NodeEnd end) {
+    if (!m_ended.exchange(true)) {
+      m_end.set_value(end);
+    }
+  }
+
+  // --- Loops -----------------------------------------------------------------
+
+  asio::awaitable<void> ReceiveProbes() {
+    std::string buffer(kLargestDatagram, '\0');
+    while (!m_ended) {
+      udp::endpoint from;
+      error_code error;
+      const size_t size = co_await m_probe_socket.async_receive_from(
+          asio::buffer(buffer), from, Await(error));
+      if (error == asio::error::operation_aborted) {
+        co_return;
+      }
+      const auto message =
+          error ? std::nullopt
+                : DecodeDatagram(std::string_view(buffer.data(), size));
+      if (message) {
+        const std::string address =
+            fmt::format("{}:{}", from.address().to_string(), from.port());
+        Run(m_instance->HandleDatagram(address, *message, Now()));
+      }
+    }
+  }
+
+  asio::awaitable<void> TickLoop() {
+    asio::steady_timer timer(m_threads.First());
+    while (!m_ended) {
+      Run(m_instance->HandleTick(Now()));
+      co_await Sleep(timer, kTickInterval);
+    }
+  }
+
+  asio::awaitable<void> ReadLoop(LogStream stream) {
+    asio::steady_timer timer(m_threads.First());
+    while (!m_ended) {
+      const ReadResult result = co_await m_platform->Read(
+          stream, m_instance->NextOffset(stream), kLogWait);
+      if (const auto* page = std::get_if<LogPage>(&result)) {
+        Run(m_instance->HandleLogRead(stream, page->records,
+                                      page->first_retained, Now()));
+        continue;
+      }
+      m_log.Write(LogLevel::kWarning, "log-read-failed",
+                  {{"stream", std::string(StreamName(stream))}});
+      Run(m_instance->HandleLogReadFailed(stream, Now()));
+      co_await Sleep(timer, kLogRetry);
+    }
+  }
+
+  asio::awaitable<void> Append(AppendRecord append) {
+    const std::string id =
+        fmt::format("{}-{}", m_settings.name, m_next_append.fetch_add(1));
+    const AppendResult result = co_await m_platform->Append(
+        append.stream, std::move(append.payload), id);
+    const bool succeeded = std::holds_alternative<LogOffset>(result);
+    if (!succeeded) {
+      m_log.Write(LogLevel::kWarning, "append-failed",
+                  {{"stream", std::string(StreamName(append.stream))}});
+      // Not at once: the platform may be out for long.
+      asio::steady_timer timer(m_threads.First());
+      co_await Sleep(timer, kLogRetry);
+    }
+    Run(m_instance->HandleAppendEnded(append.stream, succeeded, Now()));
+  }
+
+  asio::awaitable<void> ListLoop() {
+    asio::steady_timer timer(m_threads.First());
+    while (!m_ended) {
+      const ListResult result = co_await m_platform->List();
+      if (const auto* list = std::get_if<PlatformList>(&result)) {
+        Run(m_instance->HandleInstanceList(list->probe_addresses, list->leaving,
+                                           Now()));
+      }
+      co_await Sleep(timer, kListInterval);
+    }
+  }
+
+  // First the addresses that were given out run out; then what is in flight
+  // ends; only then does the process.
+  asio::awaitable<void> Drain() {
+    asio::steady_timer timer(m_threads.First());
+    co_await Sleep(timer, kLeavingSpread + m_settings.keep_addresses);
+    m_caller_server->StopAccepting();
+    m_caller_server->CloseAfterReplies();
+    const auto give_up =
+        std::chrono::steady_clock::now() + m_settings.longest_drain;
+    while (m_instance->InFlight() > 0 || m_caller_server->OpenExchanges() > 0) {
+      if (std::chrono::steady_clock::now() >= give_up) {
+        End(NodeEnd::kDrainedLate);
+        co_return;
+      }
+      co_await Sleep(timer, kDrainPoll);
+    }
+    co_await Sleep(timer, kLastWrites);
+    End(NodeEnd::kStopped);
+  }
+
+  template <typename Length>
+  static asio::awaitable<void> Sleep(asio::steady_timer& timer, Length length) {
+    error_code ignored;
+    timer.expires_after(length);
+    co_await timer.async_wait(Await(ignored));
+  }
+
+  const NodeSettings m_settings;
+  Log m_log;
+  Metrics m_metrics;
+  std::unique_ptr<Instance> m_instance;
+  SessionTable m_sessions;
+  ConnectionPool m_pool;
+  IoThreads m_threads;
+  std::mutex m_probe_mutex;
+  udp::socket m_probe_socket;
+  asio::signal_set m_signals;
+  std::unique_ptr<Platform> m_platform;
+  const CallerApiParts m_caller_parts;
+  const AdminApiParts m_admin_parts;
+  std::unique_ptr<PeerLink> m_link;
+  std::shared_ptr<HttpServer> m_caller_server;
+  std::shared_ptr<HttpServer> m_admin_server;
+  std::promise<NodeEnd> m_end;
+  std::atomic<bool> m_ended{false};
+  std::atomic<bool> m_stop_begun{false};
+  std::atomic<uint64_t> m_next_append{1};
+};
+
+}  // namespace
+
+NodeBuilder& NodeBuilder::WithSettings(NodeSettings settings) {
+  m_settings = std::move(settings);
+  return *this;
+}
+
+std::variant<std::unique_ptr<Node>, NodeError> NodeBuilder::Build() {
+  std::random_device random;
+  auto instance = InstanceBuilder()
+                      .WithSelf(SelfOf(m_settings))
+                      .WithSeeds(m_settings.peers)
+                      .WithLogRetention(m_settings.log_retention)
+                      .WithRandomSeed((uint64_t{random()} << 32) | random())
+                      .Build();
+  if (auto* error = std::get_if<InstanceError>(&instance)) {
+    return NodeError{*error};
+  }
+  auto node = std::make_unique<RunningNode>(
+      m_settings, std::get<std::unique_ptr<Instance>>(std::move(instance)));
+  if (auto error = node->Listen()) {
+    return std::move(*error);
+  }
+  return node;
+}
+
+std::string Describe(const NodeError& error) {
+  if (const auto* address = std::get_if<AddressUnusable>(&error)) {
+    return fmt::format("can't listen on {}: {}", address->address,
+                       address->reason);
+  }
+  if (const auto* link = std::get_if<LinkAddressUnusable>(&error)) {
+    return fmt::format("can't listen on {} for other instances", link->address);
+  }
+  return fmt::format(
+      "the setting {} is missing",
+      std::get<MissingSetting>(std::get<InstanceError>(error)).field);
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/daemon/settings.cc
@@ -0,0 +1,134 @@
+#include "daemon/settings.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <sstream>
+
+#include "core/json_reader.h"
+#include "link/address.h"
+
+namespace pomeloring {
+namespace {
+
+constexpr SettingDoc kDocs[] = {
+    {"name", "string", "", "the instance's name, unique among all"},
+    {"failure_domain", "string", "", "the failure domain that it stands in"},
+    {"region", "string", "(empty)", "the region of its failure domain"},
+    {"caller_address", "IP:port", "", "HTTP for callers"},
+    {"link_address", "IP:port", "", "gRPC between instances"},
+    {"probe_address", "IP:port", "", "UDP between instances"},
+    {"admin_address", "IP:port", "", "HTTP for operators"},
+    {"admin_key_sha256", "hex", "", "SHA-256 of the operators' key"},
+    {"platform_address", "IP:port", "", "the platform's log and lists"},
+    {"peers", "list of IP:port", "[]", "probe addresses to start from"},
+    {"threads", "1 to 64", "2", "event loops for connections"},
+    {"platform_deadline_ms", "milliseconds", "2000",
+     "for one call of the platform"},
+    {"keep_addresses_s", "1 to 3600 s", "30",
+     "how long callers may keep the address answer"},
+    {"log_retention_s", "60 s to 90 days", "3600",
+     "how long the platform keeps records"},
+    {"longest_drain_s", "1 to 86400 s", "600",
+     "how long a planned stop waits for what is in flight"},
+    {"log_level", "debug|info|warning|error", "info",
+     "the least level that is logged"},
+};
+
+std::string ReadAddress(JsonReader& reader, std::string_view field) {
+  std::string address = reader.String(field);
+  if (!ParseTcpAddress(address)) {
+    reader.Fail(OutOfRange{std::string(field), "IP:port"});
+  }
+  return address;
+}
+
+std::chrono::seconds ReadSeconds(JsonReader& reader,
+                                 std::string_view field,
+                                 std::chrono::seconds fallback,
+                                 int64_t least,
+                                 int64_t most) {
+  return std::chrono::seconds{reader.Int(field, fallback.count(), least, most)};
+}
+
+void ReadPeers(JsonReader& reader, NodeSettings& settings) {
+  settings.peers = reader.Strings("peers");
+  for (const std::string& peer : settings.peers) {
+    if (!ParseUdpAddress(peer)) {
+      reader.Fail(OutOfRange{"peers", "IP:port each"});
+    }
+  }
+}
+
+void ReadLimits(JsonReader& reader, NodeSettings& settings) {
+  constexpr int64_t kDay = 86400;
+  settings.threads = static_cast<int>(reader.Int("threads", 2, 1, 64));
+  settings.platform_deadline = std::chrono::duration_cast<milliseconds>(
+      reader.Millis("platform_deadline_ms", settings.platform_deadline));
+  settings.keep_addresses =
+      ReadSeconds(reader, "keep_addresses_s", settings.keep_addresses, 1, 3600);
+  settings.log_retention = ReadSeconds(reader, "log_retention_s",
+                                       settings.log_retention, 60, 90 * kDay);
+  settings.longest_drain =
+      ReadSeconds(reader, "longest_drain_s", settings.longest_drain, 1, kDay);
+  const std::string level = reader.String("log_level", false);
+  settings.log_level = level.empty() ? settings.log_level : level;
+  constexpr std::string_view kLevels[] = {"debug", "info", "warning", "error"};
+  if (std::find(std::begin(kLevels), std::end(kLevels), settings.log_level) ==
+      std::end(kLevels)) {
+    reader.Fail(OutOfRange{"log_level", "debug, info, warning or error"});
+  }
+}
+
+}  // namespace
+
+std::variant<NodeSettings, SettingsError> ParseSettings(std::string_view text) {
+  boost::json::error_code parse_error;
+  const boost::json::value value = boost::json::parse(text, parse_error);
+  if (parse_error) {
+    return ConfigurationError{MalformedJson{0}};
+  }
+  std::optional<ConfigurationError> error;
+  JsonReader reader(value, "", error);
+  NodeSettings settings;
+  settings.name = reader.String("name");
+  settings.failure_domain = reader.String("failure_domain");
+  settings.region = reader.String("region", false);
+  settings.caller_address = ReadAddress(reader, "caller_address");
+  settings.link_address = ReadAddress(reader, "link_address");
+  settings.probe_address = ReadAddress(reader, "probe_address");
+  settings.admin_address = ReadAddress(reader, "admin_address");
+  settings.platform_address = ReadAddress(reader, "platform_address");
+  settings.admin_key_sha256 = reader.String("admin_key_sha256");
+  ReadPeers(reader, settings);
+  ReadLimits(reader, settings);
+  reader.Finish();
+  if (error) {
+    return std::move(*error);
+  }
+  return settings;
+}
+
+std::variant<NodeSettings, SettingsError> ReadSettings(
+    const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return UnreadableFile{path};
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParseSettings(text.str());
+}
+
+std::string Describe(const SettingsError& error) {
+  if (const auto* unreadable = std::get_if<UnreadableFile>(&error)) {
+    return fmt::format("{} can't be read; check the path", unreadable->path);
+  }
+  return Describe(std::get<ConfigurationError>(error));
+}
+
+std::span<const SettingDoc> SettingDocs() {
+  return kDocs;
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/link/clock.cc
@@ -0,0 +1,21 @@
+#include "link/clock.h"
+
+namespace pomeloring {
+namespace {
+
+struct Anchor {
+  std::chrono::system_clock::time_point wall = std::chrono::system_clock::now();
+  std::chrono::steady_clock::time_point steady =
+      std::chrono::steady_clock::now();
+};
+
+}  // namespace
+
+Time Now() {
+  static const Anchor anchor;
+  const auto elapsed = std::chrono::steady_clock::now() - anchor.steady;
+  const auto wall = anchor.wall.time_since_epoch() + elapsed;
+  return Time{std::chrono::duration_cast<Duration>(wall)};
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/link/event_stream.cc
@@ -0,0 +1,58 @@
+#include "link/event_stream.h"
+
+#include <boost/json.hpp>
+
+namespace pomeloring {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::string_view kData = "data: ";
+
+std::string StringIn(const json::object& object, std::string_view field) {
+  const json::value* value = object.if_contains(field);
+  return value != nullptr && value->is_string()
+             ? std::string(value->get_string())
+             : std::string();
+}
+
+}  // namespace
+
+std::vector<std::string> EventStreamReader::Feed(std::string_view bytes) {
+  m_rest += bytes;
+  std::vector<std::string> events;
+  size_t begin = 0;
+  for (size_t end = m_rest.find("\n\n", begin); end != std::string::npos;
+       end = m_rest.find("\n\n", begin)) {
+    const std::string_view event(m_rest.data() + begin, end - begin);
+    if (event.starts_with(kData)) {
+      events.emplace_back(event.substr(kData.size()));
+    }
+    begin = end + 2;
+  }
+  m_rest.erase(0, begin);
+  return events;
+}
+
+std::optional<ChatToken> ReadChatToken(const json::object& event) {
+  const json::value* choices = event.if_contains("choices");
+  if (choices == nullptr || !choices->is_array() ||
+      choices->get_array().empty() || !choices->get_array()[0].is_object()) {
+    return std::nullopt;
+  }
+  const json::object& choice = choices->get_array()[0].get_object();
+  ChatToken token;
+  token.finish_reason = StringIn(choice, "finish_reason");
+  token.text = StringIn(choice, "text");
+  const json::value* delta = choice.if_contains("delta");
+  if (delta != nullptr && delta->is_object()) {
+    token.text += StringIn(delta->get_object(), "content");
+  }
+  const json::value* index = event.if_contains("token_index");
+  if (index != nullptr && index->is_int64() && index->get_int64() >= 0) {
+    token.index = static_cast<uint32_t>(index->get_int64());
+  }
+  return token;
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/link/event_stream.h
@@ -0,0 +1,37 @@
+// Defines EventStreamReader: splits a stream of server-sent events into the
+// data of each event.
+
+#ifndef POMELORING_LINK_EVENT_STREAM_H_
+#define POMELORING_LINK_EVENT_STREAM_H_
+
+#include <boost/json/object.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pomeloring {
+
+class EventStreamReader {
+ public:
+  // Returns the data of each event that `bytes` completes. Comments, which
+  // upstreams send as heartbeats, are passed over.
+  std::vector<std::string> Feed(std::string_view bytes);
+
+ private:
+  std::string m_rest;
+};
+
+// One event of a chat completion stream.
+struct ChatToken {
+  std::optional<uint32_t> index;  // Where the upstream numbers its tokens.
+  std::string text;
+  std::string finish_reason;
+};
+
+// Returns nothing where the event has no choices.
+std::optional<ChatToken> ReadChatToken(const boost::json::object& event);
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_LINK_EVENT_STREAM_H_
--- /dev/null
+++ b/src/link/http_client.cc
@@ -0,0 +1,110 @@
+#include "link/http_client.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "link/address.h"
+
+namespace pomeloring {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr size_t kMostIdlePerAddress = 256;
+constexpr uint64_t kLargestReply = 64 * 1024 * 1024;
+
+auto Await(error_code& error) {
+  return asio::redirect_error(asio::use_awaitable, error);
+}
+
+// A connection that the peer has closed meanwhile reads as ready.
+bool IsStillOpen(HttpConnection& connection) {
+  char byte = 0;
+  error_code error;
+  connection.stream.socket().non_blocking(true, error);
+  connection.stream.socket().receive(
+      asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+}  // namespace
+
+asio::awaitable<ConnectionResult> OpenConnection(
+    std::string address,
+    std::chrono::milliseconds timeout) {
+  const auto endpoint = ParseTcpAddress(address);
+  if (!endpoint) {
+    co_return ConnectFailed{address};
+  }
+  auto connection =
+      std::make_unique<HttpConnection>(co_await asio::this_coro::executor);
+  error_code error;
+  connection->stream.expires_after(timeout);
+  co_await connection->stream.async_connect(*endpoint, Await(error));
+  if (error) {
+    co_return ConnectFailed{address};
+  }
+  connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  co_return connection;
+}
+
+asio::awaitable<HttpResult> CallOnce(std::string address,
+                                     HttpRequestMessage request,
+                                     std::chrono::milliseconds timeout) {
+  auto opened = co_await OpenConnection(address, timeout);
+  if (auto* failed = std::get_if<ConnectFailed>(&opened)) {
+    co_return *failed;
+  }
+  auto& connection = *std::get<std::unique_ptr<HttpConnection>>(opened);
+  error_code error;
+  connection.stream.expires_after(timeout);
+  request.keep_alive(false);
+  request.prepare_payload();
+  co_await http::async_write(connection.stream, request, Await(error));
+  if (error) {
+    co_return ReplyLost{error == beast::error::timeout};
+  }
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kLargestReply);
+  co_await http::async_read(connection.stream, connection.buffer, parser,
+                            Await(error));
+  if (error) {
+    co_return ReplyLost{error == beast::error::timeout};
+  }
+  co_return parser.release();
+}
+
+std::unique_ptr<HttpConnection> ConnectionPool::Take(
+    const std::string& address,
+    const asio::any_io_executor& executor) {
+  const std::lock_guard lock(m_mutex);
+  auto& idle = m_idle[{&executor.context(), address}];
+  while (!idle.empty()) {
+    std::unique_ptr<HttpConnection> connection = std::move(idle.back());
+    idle.pop_back();
+    if (IsStillOpen(*connection)) {
+      connection->was_used = true;
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+void ConnectionPool::Put(const std::string& address,
+                         std::unique_ptr<HttpConnection> connection) {
+  const std::lock_guard lock(m_mutex);
+  auto* context = &connection->stream.get_executor().context();
+  auto& idle = m_idle[{context, address}];
+  if (idle.size() < kMostIdlePerAddress) {
+    connection->stream.expires_never();
+    idle.push_back(std::move(connection));
+  }
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/link/http_client.h
@@ -0,0 +1,78 @@
+// Defines HttpConnection and ConnectionPool: outgoing HTTP/1.1 with a deadline
+// on every step.
+
+#ifndef POMELORING_LINK_HTTP_CLIENT_H_
+#define POMELORING_LINK_HTTP_CLIENT_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pomeloring {
+
+using HttpRequestMessage =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponseMessage =
+    boost::beast::http::response<boost::beast::http::string_body>;
+
+struct HttpConnection {
+  explicit HttpConnection(const boost::asio::any_io_executor& executor)
+      : stream(executor) {}
+  boost::beast::tcp_stream stream;
+  boost::beast::flat_buffer buffer;
+  bool was_used = false;
+};
+
+// No connection came about: nothing of a request has left.
+struct ConnectFailed {
+  std::string address;
+};
+// The request may have reached the peer; no whole reply came.
+struct ReplyLost {
+  bool timed_out = false;
+};
+
+using ConnectionResult =
+    std::variant<std::unique_ptr<HttpConnection>, ConnectFailed>;
+using HttpResult = std::variant<HttpResponseMessage, ConnectFailed, ReplyLost>;
+
+boost::asio::awaitable<ConnectionResult> OpenConnection(
+    std::string address,
+    std::chrono::milliseconds timeout);
+
+// Sends one request over a connection of its own and reads the whole reply.
+boost::asio::awaitable<HttpResult> CallOnce(std::string address,
+                                            HttpRequestMessage request,
+                                            std::chrono::milliseconds timeout);
+
+// Keeps idle connections by address and by the thread that they belong to: a
+// connection is never used from another. One on which a reply was given up is
+// never put back.
+class ConnectionPool {
+ public:
+  // Returns an idle connection or null.
+  std::unique_ptr<HttpConnection> Take(
+      const std::string& address,
+      const boost::asio::any_io_executor& executor);
+  void Put(const std::string& address,
+           std::unique_ptr<HttpConnection> connection);
+
+ private:
+  std::mutex m_mutex;
+  using Place = std::pair<boost::asio::execution_context*, std::string>;
+  std::map<Place, std::vector<std::unique_ptr<HttpConnection>>> m_idle;
+};
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_LINK_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/link/http_server.cc
@@ -0,0 +1,354 @@
+#include "link/http_server.h"
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <mutex>
+#include <set>
+
+#include "link/address.h"
+
+namespace pomeloring {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr size_t kFirstReadBytes = 4096;
+
+auto Await(error_code& error) {
+  return asio::redirect_error(asio::use_awaitable, error);
+}
+
+struct Connection {
+  explicit Connection(tcp::socket socket) : stream(std::move(socket)) {}
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  std::atomic<bool> is_idle{true};
+};
+
+class Exchange final : public HttpExchange {
+ public:
+  Exchange(std::shared_ptr<Connection> connection,
+           HttpRequest request,
+           const HttpLimits& limits,
+           bool keep_alive)
+      : m_connection(std::move(connection)),
+        m_request(std::move(request)),
+        m_limits(limits),
+        m_keep_alive(keep_alive) {}
+
+  const HttpRequest& Request() const override { return m_request; }
+  bool HasBegun() const override { return m_begun; }
+  bool KeepsAlive() const { return m_keep_alive && !m_aborted && m_ended; }
+
+  asio::awaitable<bool> Respond(HttpReply reply) override {
+    m_begun = true;
+    m_ended = true;
+    http::response<http::string_body> response = Head<http::string_body>(reply);
+    response.body() = std::move(reply.body);
+    response.prepare_payload();
+    error_code error;
+    m_connection->stream.expires_after(m_limits.write_timeout);
+    co_await http::async_write(m_connection->stream, response, Await(error));
+    co_return !Failed(error);
+  }
+
+  asio::awaitable<bool> BeginStream(HttpReply head) override {
+    m_begun = true;
+    http::response<http::empty_body> response = Head<http::empty_body>(head);
+    response.chunked(true);
+    http::response_serializer<http::empty_body> serializer(response);
+    error_code error;
+    m_connection->stream.expires_after(m_limits.write_timeout);
+    co_await http::async_write_header(m_connection->stream, serializer,
+                                      Await(error));
+    co_return !Failed(error);
+  }
+
+  asio::awaitable<bool> WriteChunk(std::string_view chunk) override {
+    if (m_aborted) {
+      co_return false;
+    }
+    error_code error;
+    m_connection->stream.expires_after(m_limits.write_timeout);
+    co_await asio::async_write(
+        m_connection->stream,
+        http::make_chunk(asio::buffer(chunk.data(), chunk.size())),
+        Await(error));
+    co_return !Failed(error);
+  }
+
+  asio::awaitable<bool> EndStream() override {
+    if (m_aborted) {
+      co_return false;
+    }
+    m_ended = true;
+    error_code error;
+    m_connection->stream.expires_after(m_limits.write_timeout);
+    co_await asio::async_write(m_connection->stream, http::make_chunk_last(),
+                               Await(error));
+    co_return !Failed(error);
+  }
+
+  void Abort() override {
+    m_aborted = true;
+    error_code ignored;
+    m_connection->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+  }
+
+  void WatchPeer(std::function<void()> on_gone) override {
+    m_watching = true;
+    m_connection->stream.socket().async_wait(
+        tcp::socket::wait_read,
+        [connection = m_connection, on_gone](error_code error) {
+          if (error) {
+            return;
+          }
+          char byte = 0;
+          error_code peek_error;
+          connection->stream.socket().receive(
+              asio::buffer(&byte, 1), tcp::socket::message_peek, peek_error);
+          // Bytes to read are the next request of a caller that pipelines.
+          if (peek_error && peek_error != asio::error::would_block) {
+            on_gone();
+          }
+        });
+  }
+
+  void StopWatching() {
+    if (m_watching) {
+      error_code ignored;
+      m_connection->stream.socket().cancel(ignored);
+    }
+  }
+
+ private:
+  template <typename Body>
+  http::response<Body> Head(const HttpReply& reply) const {
+    http::response<Body> response{static_cast<http::status>(reply.status),
+                                  m_request.version()};
+    response.set(http::field::content_type, reply.content_type);
+    for (const HttpHeader& header : reply.headers) {
+      response.set(header.name, header.value);
+    }
+    response.keep_alive(m_keep_alive);
+    return response;
+  }
+
+  bool Failed(error_code error) {
+    m_aborted |= static_cast<bool>(error);
+    return static_cast<bool>(error);
+  }
+
+  std::shared_ptr<Connection> m_connection;
+  const HttpRequest m_request;
+  const HttpLimits& m_limits;
+  const bool m_keep_alive;
+  bool m_begun = false;
+  bool m_ended = false;
+  bool m_aborted = false;
+  bool m_watching = false;
+};
+
+class Server final : public HttpServer,
+                     public std::enable_shared_from_this<Server> {
+ public:
+  Server(IoThreads& threads,
+         HttpLimits limits,
+         HttpHandler handler,
+         HttpRefusal refusal)
+      : m_threads(threads),
+        m_acceptor(threads.First()),
+        m_limits(limits),
+        m_handler(std::move(handler)),
+        m_refusal(std::move(refusal)) {}
+
+  std::optional<AddressUnusable> Listen(const std::string& address) {
+    const auto endpoint = ParseTcpAddress(address);
+    if (!endpoint) {
+      return AddressUnusable{address, "not IP:port"};
+    }
+    error_code error;
+    m_acceptor.open(endpoint->protocol(), error);
+    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    m_acceptor.bind(*endpoint, error);
+    if (error) {
+      return AddressUnusable{address, error.message()};
+    }
+    m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+      return AddressUnusable{address, error.message()};
+    }
+    asio::co_spawn(m_acceptor.get_executor(), AcceptLoop(shared_from_this()),
+                   asio::detached);
+    return std::nullopt;
+  }
+
+  void StopAccepting() override {
+    asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+      error_code ignored;
+      self->m_acceptor.close(ignored);
+    });
+  }
+
+  void CloseAfterReplies() override {
+    m_closing = true;
+    const std::lock_guard lock(m_mutex);
+    for (const auto& weak : m_connections) {
+      if (const auto connection = weak.lock()) {
+        asio::post(connection->stream.get_executor(), [connection] {
+          if (connection->is_idle) {
+            error_code ignored;
+            connection->stream.socket().shutdown(tcp::socket::shutdown_both,
+                                                 ignored);
+          }
+        });
+      }
+    }
+  }
+
+  size_t OpenExchanges() const override { return m_exchanges; }
+
+ private:
+  // `self` keeps the server alive while the coroutine runs.
+  asio::awaitable<void> AcceptLoop(std::shared_ptr<Server> self) {
+    while (m_acceptor.is_open()) {
+      error_code error;
+      tcp::socket socket(m_threads.Next());
+      co_await m_acceptor.async_accept(socket, Await(error));
+      if (error) {
+        if (error == asio::error::operation_aborted ||
+            error == asio::error::bad_descriptor) {
+          co_return;
+        }
+        continue;
+      }
+      socket.set_option(tcp::no_delay(true), error);
+      socket.non_blocking(true, error);
+      auto connection = std::make_shared<Connection>(std::move(socket));
+      {
+        const std::lock_guard lock(m_mutex);
+        m_connections.insert(connection);
+        std::erase_if(m_connections,
+                      [](const auto& weak) { return weak.expired(); });
+      }
+      const auto executor = connection->stream.get_executor();
+      asio::co_spawn(executor, Serve(self, std::move(connection)),
+                     asio::detached);
+    }
+  }
+
+  // Returns the status to refuse with, or 0 where the connection just ends.
+  static unsigned RefusalStatus(error_code error) {
+    if (error == http::error::body_limit) {
+      return 413;
+    }
+    if (error == http::error::header_limit) {
+      return 431;
+    }
+    if (error == beast::error::timeout) {
+      return 408;
+    }
+    const bool is_malformed =
+        error.category() ==
+        make_error_code(http::error::bad_version).category();
+    return is_malformed && error != http::error::end_of_stream &&
+                   error != http::error::partial_message
+               ? 400
+               : 0;
+  }
+
+  asio::awaitable<void> Refuse(std::shared_ptr<Connection> connection,
+                               unsigned status) {
+    Exchange exchange(connection, HttpRequest{}, m_limits, false);
+    co_await exchange.Respond(m_refusal(status));
+    // The peer may still be sending; let it read the reply before the reset.
+    error_code ignored;
+    connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    char rest[4096];
+    connection->stream.expires_after(std::chrono::seconds(1));
+    for (int reads = 0; reads < 64 && !ignored; ++reads) {
+      co_await connection->stream.async_read_some(asio::buffer(rest),
+                                                  Await(ignored));
+    }
+  }
+
+  asio::awaitable<void> Serve([[maybe_unused]] std::shared_ptr<Server> self,
+                              std::shared_ptr<Connection> connection) {
+    while (!m_closing) {
+      error_code error;
+      connection->is_idle = true;
+      connection->stream.expires_after(m_limits.idle_timeout);
+      if (connection->buffer.size() == 0) {
+        const size_t read = co_await connection->stream.async_read_some(
+            connection->buffer.prepare(kFirstReadBytes), Await(error));
+        if (error) {
+          co_return;
+        }
+        connection->buffer.commit(read);
+      }
+      connection->is_idle = false;
+      http::request_parser<http::string_body> parser;
+      parser.header_limit(m_limits.header_bytes);
+      parser.body_limit(m_limits.body_bytes);
+      connection->stream.expires_after(m_limits.read_timeout);
+      co_await http::async_read(connection->stream, connection->buffer, parser,
+                                Await(error));
+      if (error) {
+        const unsigned status = RefusalStatus(error);
+        if (status != 0) {
+          co_await Refuse(connection, status);
+        }
+        co_return;
+      }
+      connection->stream.expires_never();
+      const bool keep_alive = parser.get().keep_alive() && !m_closing;
+      Exchange exchange(connection, parser.release(), m_limits, keep_alive);
+      ++m_exchanges;
+      co_await m_handler(exchange);
+      --m_exchanges;
+      exchange.StopWatching();
+      if (!exchange.KeepsAlive()) {
+        connection->stream.socket().shutdown(tcp::socket::shutdown_send, error);
+        co_return;
+      }
+    }
+  }
+
+  IoThreads& m_threads;
+  tcp::acceptor m_acceptor;
+  const HttpLimits m_limits;
+  const HttpHandler m_handler;
+  const HttpRefusal m_refusal;
+  std::atomic<bool> m_closing{false};
+  std::atomic<size_t> m_exchanges{0};
+  std::mutex m_mutex;
+  std::set<std::weak_ptr<Connection>, std::owner_less<>> m_connections;
+};
+
+}  // namespace
+
+std::variant<std::shared_ptr<HttpServer>, AddressUnusable> StartHttpServer(
+    IoThreads& threads,
+    const std::string& address,
+    HttpLimits limits,
+    HttpHandler handler,
+    HttpRefusal refusal) {
+  auto server = std::make_shared<Server>(threads, limits, std::move(handler),
+                                         std::move(refusal));
+  if (auto error = server->Listen(address)) {
+    return std::move(*error);
+  }
+  return server;
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/link/peer_link.cc
@@ -0,0 +1,273 @@
+#include "link/peer_link.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <atomic>
+#include <deque>
+#include <map>
+#include <mutex>
+
+#include "link/codec.h"
+#include "link/generated/pomeloring.grpc.pb.h"
+
+namespace pomeloring {
+namespace {
+
+constexpr std::chrono::milliseconds kDeliverDeadline{400};
+constexpr std::chrono::seconds kFetchDeadline{3};
+constexpr size_t kMostQueued = 20'000;
+constexpr size_t kMostPerBatch = 256;
+// Calls under way to one peer: more than one, so that a message does not wait
+// for the round trip of the one before it.
+constexpr int kMostCallsPerPeer = 4;
+
+class Service final : public wire::InstanceLink::CallbackService {
+ public:
+  explicit Service(PeerLinkHandlers handlers)
+      : m_handlers(std::move(handlers)) {}
+
+  grpc::ServerUnaryReactor* Deliver(grpc::CallbackServerContext* context,
+                                    const wire::SlotBatch* batch,
+                                    wire::SlotBatchReceived*) override {
+    std::vector<SlotMessage> messages;
+    for (const wire::SlotMessage& message : batch->messages()) {
+      if (auto decoded = Decode(message)) {
+        messages.push_back(std::move(*decoded));
+      }
+    }
+    m_handlers.on_messages({batch->from()}, std::move(messages),
+                           {batch->stamp_us(), batch->stamp_counter()});
+    grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+    reactor->Finish(grpc::Status::OK);
+    return reactor;
+  }
+
+  grpc::ServerUnaryReactor* FetchConfiguration(
+      grpc::CallbackServerContext* context,
+      const wire::ConfigurationRequest*,
+      wire::ConfigurationState* state) override {
+    if (const auto in_force = m_handlers.configuration()) {
+      Encode(*in_force, *state);
+    }
+    grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+    reactor->Finish(grpc::Status::OK);
+    return reactor;
+  }
+
+ private:
+  const PeerLinkHandlers m_handlers;
+};
+
+std::shared_ptr<grpc::Channel> OpenChannel(const std::string& address,
+                                           int generation) {
+  grpc::ChannelArguments arguments;
+  // A different argument keeps gRPC from sharing the old connection.
+  arguments.SetInt("pomeloring.generation", generation);
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 100);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1000);
+  arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  return grpc::CreateCustomChannel(
+      "ipv4:" + address, grpc::InsecureChannelCredentials(), arguments);
+}
+
+struct DeliverCall {
+  grpc::ClientContext context;
+  wire::SlotBatch batch;
+  wire::SlotBatchReceived received;
+  int generation = 0;
+  bool is_retry = false;
+};
+
+struct FetchCall {
+  grpc::ClientContext context;
+  wire::ConfigurationRequest request;
+  wire::ConfigurationState state;
+};
+
+// The link to one other instance.
+class Peer : public std::enable_shared_from_this<Peer> {
+ public:
+  Peer(InstanceName self, std::string address)
+      : m_self(std::move(self)), m_address(std::move(address)) {
+    Reconnect();
+  }
+
+  void Send(SlotMessage message, HybridTime stamp) {
+    std::shared_ptr<DeliverCall> call;
+    {
+      const std::lock_guard lock(m_mutex);
+      if (m_queue.size() >= kMostQueued) {
+        m_queue.pop_front();
+      }
+      m_queue.push_back(std::move(message));
+      m_stamp = std::max(m_stamp, stamp);
+      call = NextCall();
+    }
+    Start(call);
+  }
+
+  void Fetch(const std::function<void(ConfigInForce)>& on_configuration) {
+    auto call = std::make_shared<FetchCall>();
+    call->context.set_deadline(std::chrono::system_clock::now() +
+                               kFetchDeadline);
+    std::shared_ptr<wire::InstanceLink::Stub> stub;
+    {
+      const std::lock_guard lock(m_mutex);
+      stub = m_stub;
+    }
+    stub->async()->FetchConfiguration(
+        &call->context, &call->request, &call->state,
+        [call, stub, on_configuration](const grpc::Status& status) {
+          if (!status.ok()) {
+            return;
+          }
+          if (auto state = Decode(call->state)) {
+            on_configuration(std::move(*state));
+          }
+        });
+  }
+
+ private:
+  void Reconnect() {
+    ++m_generation;
+    m_stub = wire::InstanceLink::NewStub(OpenChannel(m_address, m_generation));
+  }
+
+  // Called with the lock held.
+  std::shared_ptr<DeliverCall> NextCall() {
+    if (m_queue.empty() || m_calls >= kMostCallsPerPeer) {
+      return nullptr;
+    }
+    auto call = std::make_shared<DeliverCall>();
+    call->batch.set_from(m_self.value);
+    call->batch.set_stamp_us(m_stamp.micros);
+    call->batch.set_stamp_counter(m_stamp.counter);
+    while (!m_queue.empty() &&
+           static_cast<size_t>(call->batch.messages_size()) < kMostPerBatch) {
+      Encode(m_queue.front(), *call->batch.add_messages());
+      m_queue.pop_front();
+    }
+    call->generation = m_generation;
+    ++m_calls;
+    return call;
+  }
+
+  void Start(const std::shared_ptr<DeliverCall>& call) {
+    if (call == nullptr) {
+      return;
+    }
+    std::shared_ptr<wire::InstanceLink::Stub> stub;
+    {
+      const std::lock_guard lock(m_mutex);
+      stub = m_stub;
+    }
+    call->context.set_deadline(std::chrono::system_clock::now() +
+                               kDeliverDeadline);
+    stub->async()->Deliver(
+        &call->context, &call->batch, &call->received,
+        [self = shared_from_this(), call, stub](const grpc::Status& status) {
+          self->Done(call, status.ok());
+        });
+  }
+
+  void Done(const std::shared_ptr<DeliverCall>& call, bool succeeded) {
+    std::shared_ptr<DeliverCall> next;
+    {
+      const std::lock_guard lock(m_mutex);
+      if (!succeeded && call->generation == m_generation) {
+        Reconnect();
+      }
+      if (!succeeded && !call->is_retry) {
+        next = std::make_shared<DeliverCall>();
+        next->batch = call->batch;
+        next->generation = m_generation;
+        next->is_retry = true;
+      } else {
+        --m_calls;
+        next = NextCall();
+      }
+    }
+    Start(next);
+  }
+
+  const InstanceName m_self;
+  const std::string m_address;
+  std::mutex m_mutex;
+  std::shared_ptr<wire::InstanceLink::Stub> m_stub;
+  int m_generation = 0;
+  int m_calls = 0;
+  std::deque<SlotMessage> m_queue;
+  HybridTime m_stamp;
+};
+
+class GrpcPeerLink final : public PeerLink {
+ public:
+  GrpcPeerLink(InstanceName self, PeerLinkHandlers handlers)
+      : m_self(std::move(self)),
+        m_handlers(std::move(handlers)),
+        m_service(m_handlers) {}
+
+  ~GrpcPeerLink() override { Shutdown(); }
+
+  bool Listen(const std::string& address) {
+    int port = 0;
+    grpc::ServerBuilder builder;
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
+    builder.RegisterService(&m_service);
+    m_server = builder.BuildAndStart();
+    return m_server != nullptr && port != 0;
+  }
+
+  void Send(const std::string& address,
+            SlotMessage message,
+            HybridTime stamp) override {
+    PeerAt(address)->Send(std::move(message), stamp);
+  }
+
+  void Fetch(const std::string& address) override {
+    PeerAt(address)->Fetch(m_handlers.on_configuration);
+  }
+
+  void Shutdown() override {
+    if (m_server != nullptr) {
+      m_server->Shutdown(std::chrono::system_clock::now() +
+                         std::chrono::milliseconds(200));
+      m_server.reset();
+    }
+  }
+
+ private:
+  std::shared_ptr<Peer> PeerAt(const std::string& address) {
+    const std::lock_guard lock(m_mutex);
+    std::shared_ptr<Peer>& peer = m_peers[address];
+    if (peer == nullptr) {
+      peer = std::make_shared<Peer>(m_self, address);
+    }
+    return peer;
+  }
+
+  const InstanceName m_self;
+  const PeerLinkHandlers m_handlers;
+  Service m_service;
+  std::unique_ptr<grpc::Server> m_server;
+  std::mutex m_mutex;
+  std::map<std::string, std::shared_ptr<Peer>> m_peers;
+};
+
+}  // namespace
+
+std::variant<std::unique_ptr<PeerLink>, LinkAddressUnusable> StartPeerLink(
+    const InstanceName& self,
+    const std::string& listen_address,
+    PeerLinkHandlers handlers) {
+  auto link = std::make_unique<GrpcPeerLink>(self, std::move(handlers));
+  if (!link->Listen(listen_address)) {
+    return LinkAddressUnusable{listen_address};
+  }
+  return link;
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/link/upstream_call.cc
@@ -0,0 +1,300 @@
+#include "link/upstream_call.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+
+#include "link/event_stream.h"
+
+namespace pomeloring {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using boost::system::error_code;
+
+// An upstream that sets this header on an error reply vouches that the request
+// has not been started.
+constexpr std::string_view kNotStartedHeader = "X-Not-Started";
+constexpr uint64_t kLargestAnswer = 64 * 1024 * 1024;
+
+auto Await(error_code& error) {
+  return asio::redirect_error(asio::use_awaitable, error);
+}
+
+// Only requests that may be repeated go out on a connection that was used
+// before: the peer may have closed it, or it may be silently dead.
+asio::awaitable<ConnectionResult> Connect(ConnectionPool& pool,
+                                          const std::string& address,
+                                          bool may_reuse,
+                                          std::chrono::milliseconds timeout) {
+  if (may_reuse) {
+    const auto executor = co_await asio::this_coro::executor;
+    if (auto connection = pool.Take(address, executor)) {
+      co_return connection;
+    }
+  }
+  co_return co_await OpenConnection(address, timeout);
+}
+
+bool IsNotStarted(const http::response_header<>& head) {
+  return head.count(kNotStartedHeader) > 0;
+}
+
+enum class StreamEnd { kWhole, kRefused, kLost, kSilent, kCallerGone };
+
+// Reads one stream on one connection.
+class ModelStream {
+ public:
+  ModelStream(HttpConnection& connection,
+              const ModelCall& call,
+              StreamProgress& progress,
+              const TokenSink& sink)
+      : m_connection(connection),
+        m_call(call),
+        m_progress(progress),
+        m_sink(sink) {
+    m_parser.body_limit(kLargestAnswer);
+  }
+
+  bool HasByte() const { return m_has_byte; }
+  const std::string& FinishReason() const { return m_finish_reason; }
+
+  asio::awaitable<StreamEnd> Run() {
+    error_code error;
+    m_connection.stream.expires_after(m_call.timeouts.silence);
+    HttpRequestMessage request = MakeRequest();
+    co_await http::async_write(m_connection.stream, request, Await(error));
+    if (!error) {
+      co_await http::async_read_header(m_connection.stream, m_connection.buffer,
+                                       m_parser, Await(error));
+    }
+    if (error) {
+      co_return LostBy(error);
+    }
+    m_has_byte = true;
+    if (m_parser.get().result() != http::status::ok) {
+      co_return IsNotStarted(m_parser.get()) ? StreamEnd::kRefused
+                                             : StreamEnd::kLost;
+    }
+    co_return co_await ReadBody();
+  }
+
+ private:
+  HttpRequestMessage MakeRequest() const {
+    HttpRequestMessage request{http::verb::post, m_call.target, 11};
+    request.set(http::field::host, m_call.address);
+    request.set(http::field::content_type, "application/json");
+    request.set("X-Request-Id", m_call.request_id);
+    request.set("X-Priority", std::to_string(m_call.priority));
+    if (m_progress.tokens > 0) {
+      request.set("X-Resume-From", std::to_string(m_progress.tokens));
+      request.set("X-Resume-Hash",
+                  fmt::format("{:016x}", StableHash(m_progress.text)));
+    }
+    request.body() = m_call.body;
+    request.prepare_payload();
+    return request;
+  }
+
+  static StreamEnd LostBy(error_code error) {
+    return error == beast::error::timeout ? StreamEnd::kSilent
+                                          : StreamEnd::kLost;
+  }
+
+  asio::awaitable<StreamEnd> ReadBody() {
+    while (!m_done) {
+      std::string bytes = std::move(m_parser.get().body());
+      m_parser.get().body().clear();
+      for (const std::string& event : m_events.Feed(bytes)) {
+        const StreamEnd end = co_await TakeEvent(event);
+        if (end != StreamEnd::kWhole) {
+          co_return end;
+        }
+      }
+      if (m_parser.is_done() || m_done) {
+        break;
+      }
+      error_code error;
+      m_connection.stream.expires_after(m_call.timeouts.silence);
+      co_await http::async_read_some(m_connection.stream, m_connection.buffer,
+                                     m_parser, Await(error));
+      if (error && error != http::error::end_of_stream) {
+        co_return LostBy(error);
+      }
+    }
+    // The end marker and the upstream's own count must both agree: a stream
+    // that merely stops is cut, however whole it looks.
+    const bool is_whole = m_done && m_total_tokens == m_progress.tokens;
+    co_return is_whole ? StreamEnd::kWhole : StreamEnd::kLost;
+  }
+
+  // Returns kWhole to go on.
+  asio::awaitable<StreamEnd> TakeEvent(const std::string& event) {
+    if (event == "[DONE]") {
+      m_done = true;
+      co_return StreamEnd::kWhole;
+    }
+    error_code error;
+    const json::value value = json::parse(event, error);
+    const json::object* object = error ? nullptr : value.if_object();
+    if (object == nullptr) {
+      co_return StreamEnd::kLost;
+    }
+    if (const json::value* usage = object->if_contains("usage")) {
+      TakeUsage(*usage);
+    }
+    const std::optional<ChatToken> token = ReadChatToken(*object);
+    if (!token) {
+      co_return StreamEnd::kWhole;
+    }
+    if (!token->finish_reason.empty()) {
+      m_finish_reason = token->finish_reason;
+    }
+    if (token->text.empty()) {
+      co_return StreamEnd::kWhole;
+    }
+    // A doubled or missing token means that the parts do not join.
+    if (token->index && *token->index != m_progress.tokens) {
+      co_return StreamEnd::kLost;
+    }
+    ++m_progress.tokens;
+    m_progress.text += token->text;
+    const bool is_read = co_await m_sink(event, token->text);
+    co_return is_read ? StreamEnd::kWhole : StreamEnd::kCallerGone;
+  }
+
+  void TakeUsage(const json::value& usage) {
+    const json::object* object = usage.if_object();
+    const json::value* count =
+        object == nullptr ? nullptr : object->if_contains("completion_tokens");
+    if (count != nullptr && count->is_int64()) {
+      m_total_tokens = static_cast<uint64_t>(count->get_int64());
+    }
+  }
+
+  HttpConnection& m_connection;
+  const ModelCall& m_call;
+  StreamProgress& m_progress;
+  const TokenSink& m_sink;
+  http::response_parser<http::string_body> m_parser;
+  EventStreamReader m_events;
+  bool m_has_byte = false;
+  bool m_done = false;
+  uint64_t m_total_tokens = 0;
+  std::string m_finish_reason;
+};
+
+asio::awaitable<bool> IsHealthy(std::string address,
+                                std::chrono::milliseconds timeout) {
+  HttpRequestMessage request{http::verb::get, "/health", 11};
+  request.set(http::field::host, address);
+  const HttpResult result =
+      co_await CallOnce(address, std::move(request), timeout);
+  const auto* response = std::get_if<HttpResponseMessage>(&result);
+  co_return response != nullptr && response->result() == http::status::ok;
+}
+
+}  // namespace
+
+asio::awaitable<ModelCallEnd> CallModel(ConnectionPool& pool,
+                                        ModelCall call,
+                                        StreamProgress& progress,
+                                        TokenSink sink) {
+  constexpr int kMostConnections = 3;
+  ModelCallEnd end;
+  bool may_reuse = call.idempotent;
+  bool may_have_started = false;
+  for (int tries = 0; tries < kMostConnections; ++tries) {
+    auto opened =
+        co_await Connect(pool, call.address, may_reuse, call.timeouts.connect);
+    if (std::holds_alternative<ConnectFailed>(opened)) {
+      end.outcome = may_have_started ? AttemptOutcome{AttemptUnknown{}}
+                                     : AttemptOutcome{AttemptNotStarted{}};
+      co_return end;
+    }
+    auto connection =
+        std::get<std::unique_ptr<HttpConnection>>(std::move(opened));
+    ModelStream stream(*connection, call, progress, sink);
+    const StreamEnd stream_end = co_await stream.Run();
+    if (stream_end == StreamEnd::kWhole) {
+      end.outcome = AttemptAnswered{};
+      end.finish_reason = stream.FinishReason();
+      pool.Put(call.address, std::move(connection));
+      co_return end;
+    }
+    const bool was_stale = connection->was_used && !stream.HasByte();
+    connection.reset();
+    if (stream_end == StreamEnd::kRefused && !may_have_started) {
+      end.outcome = AttemptNotStarted{};
+      co_return end;
+    }
+    if (stream_end == StreamEnd::kCallerGone || !call.idempotent) {
+      co_return end;
+    }
+    may_have_started = true;
+    may_reuse = false;
+    // The connection may be dead while the upstream lives: ask it over a new
+    // one before it is blamed.
+    const bool blame_link =
+        was_stale || (stream_end == StreamEnd::kSilent &&
+                      co_await IsHealthy(call.address, call.timeouts.health));
+    if (!blame_link) {
+      co_return end;
+    }
+  }
+  co_return end;
+}
+
+asio::awaitable<PlainCallEnd> CallPlain(ConnectionPool& pool, PlainCall call) {
+  PlainCallEnd end;
+  auto opened = co_await Connect(pool, call.address, call.idempotent,
+                                 call.timeouts.connect);
+  if (std::holds_alternative<ConnectFailed>(opened)) {
+    end.outcome = AttemptNotStarted{};
+    co_return end;
+  }
+  auto connection =
+      std::get<std::unique_ptr<HttpConnection>>(std::move(opened));
+  error_code error;
+  connection->stream.expires_after(call.timeouts.whole_answer);
+  call.request.keep_alive(true);
+  call.request.prepare_payload();
+  co_await http::async_write(connection->stream, call.request, Await(error));
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kLargestAnswer);
+  if (!error) {
+    co_await http::async_read(connection->stream, connection->buffer, parser,
+                              Await(error));
+  }
+  if (error) {
+    const bool was_stale =
+        connection->was_used && error != beast::error::timeout;
+    if (call.idempotent && was_stale) {
+      PlainCall again = std::move(call);
+      // A fresh connection; the pool's others may be as old.
+      ConnectionPool fresh;
+      co_return co_await CallPlain(fresh, std::move(again));
+    }
+    co_return end;
+  }
+  end.response = parser.release();
+  if (IsNotStarted(end.response)) {
+    end.outcome = AttemptNotStarted{};
+    co_return end;
+  }
+  end.outcome = AttemptAnswered{};
+  if (end.response.keep_alive()) {
+    pool.Put(call.address, std::move(connection));
+  }
+  co_return end;
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/standins/engine.cc
@@ -0,0 +1,355 @@
+// A stand-in for a model engine: continuous batching with a step time that
+// grows with the batch, priorities, streams that can be resumed and cancelled,
+// and orders with fencing numbers. POST /control makes it stall, cut, double or
+// refuse.
+
+#include <fmt/format.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <list>
+#include <set>
+
+#include "core/ids.h"
+#include "standin_main.h"
+
+namespace pomeloring::standin {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using boost::system::error_code;
+
+constexpr std::chrono::milliseconds kHeartbeat{1000};
+
+struct Sequence {
+  explicit Sequence(asio::any_io_executor executor) : changed(executor) {}
+  int priority = 1;
+  int64_t next = 0;   // The next token to generate.
+  int64_t total = 0;  // Tokens of the whole answer.
+  asio::steady_timer changed;
+};
+
+struct Engine {
+  Engine(const Options& options, asio::io_context& context)
+      : step_ms(options.numbers.at("step_ms")),
+        step_per_sequence_ms(options.numbers.at("step_per_sequence_ms")),
+        most_running(static_cast<size_t>(options.numbers.at("most_running"))),
+        checks_fencing(options.numbers.at("checks_fencing") != 0),
+        timer(context) {}
+
+  double step_ms;
+  double step_per_sequence_ms;
+  size_t most_running;
+  bool checks_fencing;
+  asio::steady_timer timer;
+  std::list<std::shared_ptr<Sequence>> running;
+  std::multimap<int, std::shared_ptr<Sequence>> waiting;
+  bool is_stepping = false;
+  // Faults.
+  bool stalls = false;
+  bool refuses = false;
+  int64_t cut_after = -1;     // Tokens of a stream, then the connection closes.
+  int64_t double_token = -1;  // This token is sent twice.
+  double slow_factor = 1;
+  // Counts.
+  int64_t started = 0;
+  int64_t tokens = 0;
+  std::map<std::string, int64_t> runs;  // By the last message's text.
+  // Orders.
+  int64_t fencing = 0;
+  std::set<std::string> adapters;
+  bool is_draining = false;
+};
+
+void Admit(Engine& engine) {
+  while (engine.running.size() < engine.most_running &&
+         !engine.waiting.empty()) {
+    engine.running.push_back(engine.waiting.begin()->second);
+    engine.waiting.erase(engine.waiting.begin());
+  }
+}
+
+asio::awaitable<void> StepLoop(std::shared_ptr<Engine> engine) {
+  while (!engine->running.empty() || !engine->waiting.empty()) {
+    Admit(*engine);
+    const double step =
+        engine->slow_factor *
+        (engine->step_ms + engine->step_per_sequence_ms *
+                               static_cast<double>(engine->running.size()));
+    engine->timer.expires_after(
+        std::chrono::microseconds(static_cast<int64_t>(step * 1000)));
+    error_code ignored;
+    co_await engine->timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    if (engine->stalls) {
+      continue;
+    }
+    for (const auto& sequence : engine->running) {
+      ++sequence->next;
+      ++engine->tokens;
+      sequence->changed.cancel();
+    }
+    std::erase_if(engine->running, [](const auto& sequence) {
+      return sequence->next >= sequence->total;
+    });
+  }
+  engine->is_stepping = false;
+}
+
+void Start(const std::shared_ptr<Engine>& engine,
+           const std::shared_ptr<Sequence>& sequence) {
+  ++engine->started;
+  engine->waiting.emplace(sequence->priority, sequence);
+  if (!engine->is_stepping) {
+    engine->is_stepping = true;
+    asio::co_spawn(engine->timer.get_executor(), StepLoop(engine),
+                   asio::detached);
+  }
+}
+
+void Cancel(Engine& engine, const std::shared_ptr<Sequence>& sequence) {
+  engine.running.remove(sequence);
+  std::erase_if(engine.waiting,
+                [&](const auto& entry) { return entry.second == sequence; });
+}
+
+// The same prompt gives the same words on every engine.
+std::string WordAt(uint64_t prompt_hash, int64_t index) {
+  static constexpr std::string_view kWords[] = {
+      "cask", "oak", "rack", "fill", "stave", "angel", "share", "bung"};
+  const uint64_t at = StableHash(std::to_string(index), prompt_hash);
+  return fmt::format("{}{} ", kWords[at % std::size(kWords)], index);
+}
+
+std::string LastText(const json::object& body) {
+  if (const json::value* prompt = body.if_contains("prompt")) {
+    return prompt->is_string() ? std::string(prompt->get_string()) : "";
+  }
+  const json::value* messages = body.if_contains("messages");
+  if (messages == nullptr || !messages->is_array() ||
+      messages->get_array().empty()) {
+    return "";
+  }
+  const json::value& last = messages->get_array().back();
+  const json::value* content =
+      last.is_object() ? last.get_object().if_contains("content") : nullptr;
+  return content != nullptr && content->is_string()
+             ? std::string(content->get_string())
+             : "";
+}
+
+std::string TokenEvent(uint64_t prompt_hash, int64_t index) {
+  const json::object event{
+      {"object", "chat.completion.chunk"},
+      {"token_index", index},
+      {"choices",
+       json::array{json::object{
+           {"index", 0},
+           {"delta", json::object{{"content", WordAt(prompt_hash, index)}}},
+           {"finish_reason", nullptr}}}}};
+  return fmt::format("data: {}\n\n", json::serialize(event));
+}
+
+std::string LastEvents(int64_t total) {
+  const json::object event{
+      {"object", "chat.completion.chunk"},
+      {"choices", json::array{json::object{{"index", 0},
+                                           {"delta", json::object{}},
+                                           {"finish_reason", "stop"}}}},
+      {"usage", json::object{{"completion_tokens", total}}}};
+  return fmt::format("data: {}\n\ndata: [DONE]\n\n", json::serialize(event));
+}
+
+// Returns the token to begin at, or -1 where the caller's part does not join.
+int64_t ResumePoint(const HttpRequest& request, uint64_t prompt_hash) {
+  const std::string from = HeaderOf(request, "X-Resume-From");
+  if (from.empty()) {
+    return 0;
+  }
+  const int64_t index = std::stoll(from);
+  std::string text;
+  for (int64_t i = 0; i < index; ++i) {
+    text += WordAt(prompt_hash, i);
+  }
+  const bool joins = HeaderOf(request, "X-Resume-Hash") ==
+                     fmt::format("{:016x}", StableHash(text));
+  return joins ? index : -1;
+}
+
+asio::awaitable<bool> WaitForToken(Engine& engine,
+                                   Sequence& sequence,
+                                   int64_t sent,
+                                   HttpExchange& exchange) {
+  auto heartbeat = std::chrono::steady_clock::now() + kHeartbeat;
+  while (sequence.next <= sent) {
+    sequence.changed.expires_at(heartbeat);
+    error_code ignored;
+    co_await sequence.changed.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    if (std::chrono::steady_clock::now() >= heartbeat) {
+      heartbeat += kHeartbeat;
+      if (!engine.stalls && !co_await exchange.WriteChunk(": heartbeat\n\n")) {
+        co_return false;
+      }
+    }
+  }
+  co_return true;
+}
+
+asio::awaitable<bool> SendTokens(Engine& engine,
+                                 Sequence& sequence,
+                                 uint64_t prompt_hash,
+                                 HttpExchange& exchange) {
+  for (int64_t sent = sequence.next; sent < sequence.total; ++sent) {
+    if (!co_await WaitForToken(engine, sequence, sent, exchange)) {
+      co_return false;
+    }
+    if (engine.cut_after >= 0 && sent >= engine.cut_after) {
+      engine.cut_after = -1;
+      exchange.Abort();
+      co_return false;
+    }
+    std::string event = TokenEvent(prompt_hash, sent);
+    if (engine.double_token == sent) {
+      engine.double_token = -1;
+      event += event;
+    }
+    if (!co_await exchange.WriteChunk(event)) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+asio::awaitable<void> Complete(std::shared_ptr<Engine> engine,
+                               HttpExchange& exchange) {
+  json::error_code error;
+  const json::value body = json::parse(exchange.Request().body(), error);
+  if (error || !body.is_object()) {
+    co_await exchange.Respond(Error("bad body", 400));
+    co_return;
+  }
+  if (engine->refuses || engine->is_draining) {
+    co_await exchange.Respond(NotStarted());
+    co_return;
+  }
+  const std::string text = LastText(body.get_object());
+  const uint64_t prompt_hash = StableHash(text);
+  auto sequence =
+      std::make_shared<Sequence>(co_await asio::this_coro::executor);
+  sequence->next = ResumePoint(exchange.Request(), prompt_hash);
+  if (sequence->next < 0) {
+    co_await exchange.Respond(Error("no join", 409));
+    co_return;
+  }
+  const std::string priority = HeaderOf(exchange.Request(), "X-Priority");
+  sequence->priority = priority.empty() ? 1 : std::stoi(priority);
+  sequence->total = static_cast<int64_t>(
+      NumberIn(body, "max_tokens", 8 + static_cast<double>(prompt_hash % 25)));
+  ++engine->runs[text];
+  Start(engine, sequence);
+  HttpReply head;
+  head.content_type = "text/event-stream";
+  bool is_whole =
+      co_await exchange.BeginStream(std::move(head)) &&
+      co_await SendTokens(*engine, *sequence, prompt_hash, exchange);
+  Cancel(*engine, sequence);
+  if (is_whole) {
+    co_await exchange.WriteChunk(LastEvents(sequence->total));
+    co_await exchange.EndStream();
+  }
+}
+
+HttpReply Counts(const Engine& engine) {
+  json::object runs;
+  for (const auto& [text, count] : engine.runs) {
+    runs[text] = count;
+  }
+  json::array adapters;
+  for (const std::string& adapter : engine.adapters) {
+    adapters.emplace_back(adapter);
+  }
+  return Json(json::object{{"started", engine.started},
+                           {"tokens", engine.tokens},
+                           {"running", engine.running.size()},
+                           {"waiting", engine.waiting.size()},
+                           {"fencing", engine.fencing},
+                           {"adapters", adapters},
+                           {"draining", engine.is_draining},
+                           {"runs", runs}});
+}
+
+void TakeControl(Engine& engine, const json::value& control) {
+  engine.stalls = NumberIn(control, "stalls", engine.stalls) != 0;
+  engine.refuses = NumberIn(control, "refuses", engine.refuses) != 0;
+  engine.cut_after = static_cast<int64_t>(NumberIn(control, "cut_after", -1));
+  engine.double_token =
+      static_cast<int64_t>(NumberIn(control, "double_token", -1));
+  engine.slow_factor = NumberIn(control, "slow_factor", engine.slow_factor);
+}
+
+// An order states the wanted end state, so that a repeated one is harmless.
+HttpReply TakeOrder(Engine& engine, const json::value& order) {
+  const auto fencing = static_cast<int64_t>(NumberIn(order, "fencing", 0));
+  if (engine.checks_fencing && fencing < engine.fencing) {
+    return Json(
+        json::object{{"error", "old fencing"}, {"fencing", engine.fencing}},
+        409);
+  }
+  engine.fencing = std::max(engine.fencing, fencing);
+  const json::object& object = order.as_object();
+  if (const json::value* adapter = object.if_contains("adapter")) {
+    engine.adapters.insert(std::string(adapter->as_string()));
+  }
+  if (const json::value* draining = object.if_contains("draining")) {
+    engine.is_draining = draining->as_bool();
+  }
+  return Json(json::object{{"fencing", engine.fencing}});
+}
+
+asio::awaitable<void> Serve(std::shared_ptr<Engine> engine,
+                            HttpExchange& exchange) {
+  const std::string path(exchange.Request().target());
+  json::error_code error;
+  const json::value body = path == "/control" || path == "/orders"
+                               ? json::parse(exchange.Request().body(), error)
+                               : json::value{};
+  if (path == "/v1/chat/completions" || path == "/v1/completions") {
+    co_await Complete(engine, exchange);
+  } else if (path == "/control") {
+    TakeControl(*engine, body);
+    co_await exchange.Respond(Json(json::object()));
+  } else if (path == "/orders" && body.is_object()) {
+    co_await exchange.Respond(TakeOrder(*engine, body));
+  } else if (path == "/counts") {
+    co_await exchange.Respond(Counts(*engine));
+  } else if (path == "/health") {
+    co_await exchange.Respond(Json(json::object()));
+  } else {
+    co_await exchange.Respond(Error("no path", 404));
+  }
+}
+
+}  // namespace
+}  // namespace pomeloring::standin
+
+int main(int argc, char** argv) {
+  using namespace pomeloring;
+  return standin::Main(
+      argc, argv,
+      {{"step_ms", 3},
+       {"step_per_sequence_ms", 0.2},
+       {"most_running", 32},
+       {"checks_fencing", 1}},
+      [](const standin::Options& options, IoThreads& threads) -> HttpHandler {
+        auto engine =
+            std::make_shared<standin::Engine>(options, threads.First());
+        return [engine](HttpExchange& exchange) {
+          return standin::Serve(engine, exchange);
+        };
+      });
+}
--- /dev/null
+++ b/standins/plain.cc
@@ -0,0 +1,95 @@
+// A stand-in for a plain service that counts what it ran, by key and by body.
+// POST /control makes it slow, refuse, or lose replies after it ran.
+
+#include <fmt/format.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "standin_main.h"
+
+namespace pomeloring::standin {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+struct State {
+  std::string address;
+  std::map<std::string, int64_t> runs;  // By body.
+  int64_t total = 0;
+  int delay_ms = 0;
+  int lose_replies = 0;
+  bool refuses = false;
+};
+
+HttpReply Counts(const State& state) {
+  json::object runs;
+  for (const auto& [body, count] : state.runs) {
+    runs[body] = count;
+  }
+  return Json(json::object{{"total", state.total}, {"runs", runs}});
+}
+
+HttpReply Ran(const State& state, std::string_view path) {
+  return Json(json::object{
+      {"ran", state.total}, {"service", state.address}, {"path", path}});
+}
+
+void TakeControl(State& state, const json::value& control) {
+  state.delay_ms =
+      static_cast<int>(NumberIn(control, "delay_ms", state.delay_ms));
+  state.lose_replies =
+      static_cast<int>(NumberIn(control, "lose_replies", state.lose_replies));
+  state.refuses = NumberIn(control, "refuses", state.refuses) != 0;
+}
+
+asio::awaitable<void> Run(State& state, HttpExchange& exchange) {
+  ++state.total;
+  ++state.runs[exchange.Request().body()];
+  if (state.delay_ms > 0) {
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(std::chrono::milliseconds(state.delay_ms));
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  if (state.lose_replies > 0) {
+    --state.lose_replies;
+    exchange.Abort();
+    co_return;
+  }
+  co_await exchange.Respond(Ran(state, exchange.Request().target()));
+}
+
+asio::awaitable<void> Serve(State& state, HttpExchange& exchange) {
+  const std::string path(exchange.Request().target());
+  if (path == "/control") {
+    json::error_code error;
+    TakeControl(state, json::parse(exchange.Request().body(), error));
+    co_await exchange.Respond(Json(json::object()));
+  } else if (path == "/counts") {
+    co_await exchange.Respond(Counts(state));
+  } else if (path == "/health") {
+    co_await exchange.Respond(Json(json::object()));
+  } else if (state.refuses) {
+    co_await exchange.Respond(NotStarted());
+  } else {
+    co_await Run(state, exchange);
+  }
+}
+
+}  // namespace
+}  // namespace pomeloring::standin
+
+int main(int argc, char** argv) {
+  using namespace pomeloring;
+  return standin::Main(
+      argc, argv, {{"delay_ms", 0}},
+      [](const standin::Options& options, IoThreads&) -> HttpHandler {
+        auto state = std::make_shared<standin::State>();
+        state->address = options.address;
+        state->delay_ms = static_cast<int>(options.numbers.at("delay_ms"));
+        return [state](HttpExchange& exchange) {
+          return standin::Serve(*state, exchange);
+        };
+      });
+}
