Ask around a scheduler that has gone silent; test the promises in virtual time

Ruled out: membership, which needs seconds by design.

Change: an instance probes each instance that holds queued asks of its own, one small message for all of them, every 150 ms, and asks the successor after 80 ms of silence. Renewals of single asks go from 1 s to 2 s.

Also found by the new tests: once every upstream of a cell had failed a request, it was refused although attempts were left; an exclusion is now a preference.

--- a/src/core/cell.h
+++ b/src/core/cell.h
@@ -21,7 +21,7 @@
   size_t most_waiting = 4096;
   // Of the cell's slots, kept free of each tier for every tier above it.
   double reserved_share_per_tier = 0.02;
-  Duration ask_expiry = seconds(4);  // Without being renewed.
+  Duration ask_expiry = seconds(6);  // Without being renewed.
   Duration least_retry_after = seconds(1);
   Duration longest_retry_after = seconds(60);
 };
--- a/src/core/entry.cc
+++ b/src/core/entry.cc
@@ -7,7 +7,7 @@
 
 // An ask without a word for this long goes to the successor too.
 constexpr Duration kAskPatience = milliseconds(50);
-constexpr Duration kRenewInterval = seconds(1);
+constexpr Duration kRenewInterval = seconds(2);
 // After a scheduler said that it is none.
 constexpr Duration kReaskDelay = milliseconds(20);
 constexpr uint32_t kMostAttempts = 4;
@@ -176,6 +176,37 @@
   SetTimer(shard, request, now + kAskPatience);
 }
 
+// Returns the turn at which a scheduler other than `lost` is asked.
+uint32_t FirstOtherScheduler(const ClusterView& view,
+                             const EntryRequest& request,
+                             const InstanceName& lost) {
+  const auto cell = view.cells.find(request.cell);
+  const bool first_is_lost = cell != view.cells.end() &&
+                             !cell->second.schedulers.empty() &&
+                             cell->second.schedulers.front() == lost;
+  return first_is_lost ? 1 : 0;
+}
+
+// An upstream that failed is avoided while there is another one.
+void Exclude(const ClusterView& view,
+             EntryRequest& request,
+             const UpstreamName& failed) {
+  request.excluded.push_back(failed);
+  const auto cell = view.cells.find(request.cell);
+  if (cell == view.cells.end()) {
+    return;
+  }
+  for (const Upstream& upstream : cell->second.upstreams) {
+    const bool is_excluded =
+        std::find(request.excluded.begin(), request.excluded.end(),
+                  upstream.name) != request.excluded.end();
+    if (!is_excluded && !view.leaving.contains(upstream.name)) {
+      return;
+    }
+  }
+  request.excluded.clear();
+}
+
 void Report(EntryOutput& output,
             const ClusterView& view,
             const EntryRequest& request,
@@ -212,7 +243,7 @@
       !request.may_have_started ||
       SpendRetry(shard.retry_budgets[request.of_class.name]);
   if (may_retry && has_budget) {
-    request.excluded.push_back(request.upstream.name);
+    Exclude(view, request, request.upstream.name);
     AskForNextAttempt(shard, output, view, request, now);
     return;
   }
@@ -458,13 +489,22 @@
         request.phase == RequestPhase::kAsking && request.holder == instance;
     if (was_held_there) {
       request.holder.reset();
-      request.asks = 0;
+      request.renewal_unanswered = false;
+      request.asks = FirstOtherScheduler(view, request, instance);
       AskScheduler(shard, output, view, request, now);
     }
   }
   return output;
 }
 
+void CollectHolders(const EntryShard& shard, std::set<InstanceName>& holders) {
+  for (const auto& [id, request] : shard.requests) {
+    if (request.phase == RequestPhase::kAsking && request.holder) {
+      holders.insert(*request.holder);
+    }
+  }
+}
+
 void CountRunning(const EntryShard& shard,
                   std::map<CellId, std::map<UpstreamName, uint32_t>>& counts) {
   for (const auto& [id, request] : shard.requests) {
--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -111,12 +112,16 @@
 
 EntryOutput TickEntry(EntryShard& shard, const ClusterView& view, Time now);
 
-// Asks again at once for every request that is queued at `instance`.
+// Asks another scheduler at once for every request that is queued at
+// `instance`.
 EntryOutput ReaskAfterLoss(EntryShard& shard,
                            const ClusterView& view,
                            const InstanceName& instance,
                            Time now);
 
+// Adds the instances at which asks of this shard are queued.
+void CollectHolders(const EntryShard& shard, std::set<InstanceName>& holders);
+
 // Adds what this shard runs to `counts`.
 void CountRunning(const EntryShard& shard,
                   std::map<CellId, std::map<UpstreamName, uint32_t>>& counts);
--- a/src/core/instance.cc
+++ b/src/core/instance.cc
@@ -10,6 +10,9 @@
 constexpr Duration kComeBackSoon = seconds(1);
 // How long a service counts as down for the services that depend on it.
 constexpr Duration kDownMemory = seconds(1);
+// Of instances at which asks of this one are queued.
+constexpr Duration kProbeInterval = milliseconds(150);
+constexpr Duration kProbePatience = milliseconds(80);
 // A due snapshot is appended after a random part of this time, so that not
 // every instance appends one.
 constexpr Duration kSnapshotSpread = seconds(10);
@@ -481,6 +484,15 @@
                        const SlotMessage& message,
                        Time now,
                        Actions& out) {
+  if (std::holds_alternative<SchedulerProbe>(message)) {
+    SendReplies({{from, SchedulerAlive{}}}, *View(), now, out);
+    return;
+  }
+  if (std::holds_alternative<SchedulerAlive>(message)) {
+    const std::lock_guard lock(m_watch_mutex);
+    m_watched[from].answered = true;
+    return;
+  }
   if (const auto* ask = std::get_if<Ask>(&message)) {
     DeliverToCell(from, message, ask->cell, now, out);
   } else if (const auto* withdraw = std::get_if<Withdraw>(&message)) {
@@ -600,15 +612,62 @@
     }
   }
   if (is_dead || member.leaving) {
-    for (EntrySlot& slot : m_entries) {
-      EntryOutput output;
-      {
-        const std::lock_guard lock(slot.mutex);
-        output = ReaskAfterLoss(slot.shard, *view, member.name, now);
+    AskOthersThan(member.name, now, out);
+  }
+}
+
+void Instance::AskOthersThan(const InstanceName& lost, Time now, Actions& out) {
+  const auto view = View();
+  for (EntrySlot& slot : m_entries) {
+    EntryOutput output;
+    {
+      const std::lock_guard lock(slot.mutex);
+      output = ReaskAfterLoss(slot.shard, *view, lost, now);
+    }
+    TakeEntryOutput(std::move(output), now, out);
+  }
+}
+
+// A scheduler that dies says nothing to those that wait in its queue, and
+// membership takes seconds to tell: each instance that holds queued asks is
+// probed itself, once for all of them.
+void Instance::WatchSchedulers(Time now, Actions& out) {
+  std::set<InstanceName> holders;
+  for (EntrySlot& slot : m_entries) {
+    const std::lock_guard lock(slot.mutex);
+    CollectHolders(slot.shard, holders);
+  }
+  holders.erase(m_settings.self.name);
+  std::vector<InstanceName> silent;
+  std::vector<InstanceName> to_probe;
+  {
+    const std::lock_guard lock(m_watch_mutex);
+    std::erase_if(m_watched, [&](const auto& watched) {
+      return !holders.contains(watched.first);
+    });
+    for (const InstanceName& holder : holders) {
+      SchedulerWatch& watch = m_watched[holder];
+      const Duration age = now - watch.probed;
+      if (!watch.answered && age >= kProbePatience) {
+        silent.push_back(holder);
+        watch.answered = true;
+      } else if (watch.answered && age >= kProbeInterval) {
+        to_probe.push_back(holder);
+        watch = {now, false};
       }
-      TakeEntryOutput(std::move(output), now, out);
     }
   }
+  const auto view = View();
+  for (const InstanceName& holder : to_probe) {
+    const auto member = view->live.find(holder);
+    if (member != view->live.end()) {
+      out.push_back(SendSlotMessage{holder, member->second.link_address,
+                                    SchedulerProbe{}});
+    }
+  }
+  for (const InstanceName& holder : silent) {
+    AskOthersThan(holder, now, out);
+  }
 }
 
 Actions Instance::HandlePeerConfiguration(ConfigInForce peer_state, Time now) {
@@ -828,6 +887,7 @@
   TickEntries(now, out);
   TickClaims(now, out);
   TickSnapshots(now, out);
+  WatchSchedulers(now, out);
   ReportRunning(now, out);
   return DeliverLocally(std::move(out), now);
 }
--- a/src/core/instance.h
+++ b/src/core/instance.h
@@ -192,6 +192,8 @@
   void TickClaims(Time now, Actions& out);
   void TickSnapshots(Time now, Actions& out);
   void ReportRunning(Time now, Actions& out);
+  void WatchSchedulers(Time now, Actions& out);
+  void AskOthersThan(const InstanceName& lost, Time now, Actions& out);
   void RecordAction(const Action& action, Time now);
 
   const InstanceSettings m_settings;
@@ -222,6 +224,13 @@
   std::set<UpstreamName> m_leaving_by_platform;
   Time m_next_running_report;
 
+  struct SchedulerWatch {
+    Time probed;
+    bool answered = true;
+  };
+  std::mutex m_watch_mutex;
+  std::map<InstanceName, SchedulerWatch> m_watched;
+
   mutable std::mutex m_limits_mutex;
   std::map<AccountName, uint32_t> m_in_flight;
   std::map<ServiceName, Time> m_service_down_until;
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -92,8 +92,20 @@
   std::vector<RunningCount> counts;
 };
 
-using SlotMessage = std::
-    variant<Ask, Queued, Granted, Declined, Withdraw, SlotReport, RunningSlots>;
+// Asks an instance that holds queued asks whether it is still there: one small
+// message for all of them.
+struct SchedulerProbe {};
+struct SchedulerAlive {};
+
+using SlotMessage = std::variant<Ask,
+                                 Queued,
+                                 Granted,
+                                 Declined,
+                                 Withdraw,
+                                 SlotReport,
+                                 RunningSlots,
+                                 SchedulerProbe,
+                                 SchedulerAlive>;
 
 }  // namespace pomeloring
 
--- a/src/link/codec.cc
+++ b/src/link/codec.cc
@@ -60,6 +60,8 @@
     to.set_total_us(report.total.count());
     to.set_tokens(report.tokens);
   }
+  void operator()(const SchedulerProbe&) const { out.mutable_probe(); }
+  void operator()(const SchedulerAlive&) const { out.mutable_alive(); }
   void operator()(const RunningSlots& running) const {
     wire::RunningSlots& to = *out.mutable_running();
     to.set_entry(running.entry.value);
@@ -177,6 +179,10 @@
       return DecodeReport(message.report());
     case wire::SlotMessage::kRunning:
       return DecodeRunning(message.running());
+    case wire::SlotMessage::kProbe:
+      return SchedulerProbe{};
+    case wire::SlotMessage::kAlive:
+      return SchedulerAlive{};
     case wire::SlotMessage::BODY_NOT_SET:
       return std::nullopt;
   }
--- /dev/null
+++ b/test/correctness/events_stand_in_causal_order_test.cc
@@ -0,0 +1,59 @@
+#include <doctest/doctest.h>
+
+#include "support/virtual_site.h"
+
+namespace pomeloring::test {
+namespace {
+
+TEST_CASE("a grant stands after its ask, whatever the clocks say") {
+  HybridTime fast = NextHybridTime({}, {}, Time{seconds(100)});
+  const HybridTime received = NextHybridTime({}, fast, Time{seconds(10)});
+  CHECK(received > fast);
+  const HybridTime later = NextHybridTime(received, {}, Time{seconds(11)});
+  CHECK(later > received);
+}
+
+TEST_CASE("the ring keeps the newest events, the oldest first") {
+  Timeline timeline(3);
+  for (int i = 0; i < 5; ++i) {
+    timeline.Record(EventKind::kAsked, {}, std::to_string(i), "",
+                    Time{seconds(i)});
+  }
+  const auto events = timeline.Events();
+  REQUIRE(events.size() == 3);
+  CHECK(events.front().subject == "2");
+  CHECK(events.back().subject == "4");
+}
+
+TEST_CASE("a request's events over instances are in order") {
+  SiteOptions options;
+  options.config_text = SmallConfig(1, 1, 2);
+  options.timeline_events = 4096;
+  VirtualSite site(options);
+  site.RunFor(seconds(3));
+  const size_t entry = (site.SchedulerOf("model") + 1) % 3;
+  const size_t caller = site.Submit(entry, "question", "q1");
+  site.RunFor(seconds(1));
+  std::vector<TimelineEvent> events;
+  for (const Host& host : site.hosts) {
+    for (const TimelineEvent& event : host.instance->Events().Events()) {
+      if (event.request == site.callers[caller].id) {
+        events.push_back(event);
+      }
+    }
+  }
+  std::sort(events.begin(), events.end(),
+            [](const auto& a, const auto& b) { return a.time < b.time; });
+  std::vector<EventKind> kinds;
+  for (const TimelineEvent& event : events) {
+    kinds.push_back(event.kind);
+  }
+  CHECK(kinds == std::vector<EventKind>{
+                     EventKind::kRequestAccepted, EventKind::kAsked,
+                     EventKind::kGranted, EventKind::kUpstreamStarted,
+                     EventKind::kFirstToken, EventKind::kUpstreamEnded,
+                     EventKind::kRequestFinished});
+}
+
+}  // namespace
+}  // namespace pomeloring::test
--- /dev/null
+++ b/test/correctness/higher_tier_is_not_shed_for_lower_test.cc
@@ -0,0 +1,122 @@
+#include <doctest/doctest.h>
+
+#include "support/virtual_site.h"
+
+namespace pomeloring::test {
+namespace {
+
+struct OneCell {
+  OneCell(uint32_t slots, size_t most_waiting) {
+    config =
+        std::get<Configuration>(ParseConfiguration(SmallConfig(1, 1, slots)));
+    cell.id.value = "model//0";
+    cell.service.value = "model";
+    cell.settings.most_waiting = most_waiting;
+    cell.settings.reserved_share_per_tier = 0;
+    ConfigureCell(cell, config, config.services.at({"model"}).upstreams, {});
+    cell.replicas[0].limit = slots;
+  }
+
+  CellReplies AskFor(const std::string& name, uint64_t id, Duration left) {
+    Ask ask;
+    ask.attempt = {{Incarnation{1}, id}, 1};
+    ask.cell = cell.id;
+    ask.request_class.value = name;
+    ask.account.value = "one";
+    ask.time_left = left;
+    return HandleAsk(cell, {"entry"}, ask, now);
+  }
+
+  CellReplies Report(uint64_t id, Duration total) {
+    SlotReport report;
+    report.attempt = {{Incarnation{1}, id}, 1};
+    report.cell = cell.id;
+    report.upstream.value = "engine-1";
+    report.total = total;
+    return HandleSlotReport(cell, {"entry"}, report, now);
+  }
+
+  Configuration config;
+  CellState cell;
+  Time now{seconds(100)};
+};
+
+template <typename T>
+std::vector<uint64_t> IdsOf(const CellReplies& replies) {
+  std::vector<uint64_t> ids;
+  for (const CellReply& reply : replies) {
+    if (const auto* message = std::get_if<T>(&reply.message)) {
+      ids.push_back(message->attempt.request.sequence);
+    }
+  }
+  return ids;
+}
+
+TEST_CASE("a full queue pushes out the lowest tier for a higher one") {
+  OneCell one(1, 2);
+  one.AskFor("history", 1, seconds(600));  // Granted.
+  one.AskFor("history", 2, seconds(600));
+  one.AskFor("tag", 3, seconds(50));
+  const CellReplies replies = one.AskFor("question", 4, seconds(1));
+  CHECK(IdsOf<Declined>(replies) == std::vector<uint64_t>{2});
+  CHECK(IdsOf<Queued>(replies) == std::vector<uint64_t>{4});
+  // Its own tier and lower ones get nothing pushed out.
+  one.AskFor("question", 5, seconds(1));
+  CHECK(IdsOf<Declined>(one.AskFor("history", 6, seconds(600))) ==
+        std::vector<uint64_t>{6});
+}
+
+TEST_CASE("the highest tier that waits is granted first") {
+  OneCell one(1, 10);
+  one.AskFor("history", 1, seconds(600));
+  one.AskFor("history", 2, seconds(600));
+  one.AskFor("tag", 3, seconds(50));
+  one.AskFor("question", 4, seconds(1));
+  CHECK(IdsOf<Granted>(one.Report(1, seconds(1))) == std::vector<uint64_t>{4});
+  CHECK(IdsOf<Granted>(one.Report(4, seconds(1))) == std::vector<uint64_t>{3});
+  CHECK(IdsOf<Granted>(one.Report(3, seconds(1))) == std::vector<uint64_t>{2});
+}
+
+TEST_CASE("after a decline no lower tier starts while it was of use") {
+  OneCell one(1, 10);
+  one.AskFor("question", 1, seconds(1));
+  one.AskFor("history", 2, seconds(600));
+  one.AskFor("question", 3, milliseconds(200));
+  one.now += milliseconds(201);
+  // 3 is too late now and is declined; the slot comes free at once.
+  CHECK(IdsOf<Declined>(TickCell(one.cell, one.now)) ==
+        std::vector<uint64_t>{3});
+  CHECK(IdsOf<Granted>(one.Report(1, seconds(1))) == std::vector<uint64_t>{2});
+  // Declined early, with 900 ms in which a start was still of use.
+  one.cell.estimate.frees = 1;
+  one.cell.estimate.seconds = 10;
+  one.AskFor("history", 4, seconds(600));
+  CHECK(IdsOf<Declined>(one.AskFor("question", 5, milliseconds(900))) ==
+        std::vector<uint64_t>{5});
+  CHECK(IdsOf<Granted>(one.Report(2, seconds(1))).empty());
+  one.now += milliseconds(901);
+  CHECK(IdsOf<Granted>(TickCell(one.cell, one.now)) ==
+        std::vector<uint64_t>{4});
+}
+
+TEST_CASE("a lower tier that has waited long goes first only without harm") {
+  OneCell one(1, 100);
+  one.AskFor("question", 1, seconds(1));
+  one.AskFor("history", 2, seconds(600));
+  one.cell.estimate.frees = 50;
+  one.cell.estimate.seconds = 5;
+  one.now += seconds(3600);
+  SUBCASE("with slack it overtakes") {
+    one.AskFor("question", 3, seconds(100));
+    CHECK(IdsOf<Granted>(one.Report(1, seconds(1))) ==
+          std::vector<uint64_t>{2});
+  }
+  SUBCASE("without slack it waits") {
+    one.AskFor("question", 3, milliseconds(150));
+    CHECK(IdsOf<Granted>(one.Report(1, seconds(1))) ==
+          std::vector<uint64_t>{3});
+  }
+}
+
+}  // namespace
+}  // namespace pomeloring::test
--- /dev/null
+++ b/test/correctness/leaving_upstream_gets_no_new_work_test.cc
@@ -0,0 +1,76 @@
+#include <doctest/doctest.h>
+
+#include "support/virtual_site.h"
+
+namespace pomeloring::test {
+namespace {
+
+SiteOptions Options() {
+  SiteOptions options;
+  options.config_text = SmallConfig(2, 1, 4);
+  return options;
+}
+
+int StartsAfter(const VirtualSite& site, const std::string& name, Time after) {
+  int starts = 0;
+  for (const VirtualSite::Start& start : site.starts) {
+    starts += start.upstream.value == name && start.at > after ? 1 : 0;
+  }
+  return starts;
+}
+
+void SubmitSome(VirtualSite& site, const std::string& prefix, int count) {
+  for (int i = 0; i < count; ++i) {
+    site.Submit(static_cast<size_t>(i) % 3, "question",
+                prefix + std::to_string(i));
+    site.RunFor(milliseconds(50));
+  }
+}
+
+TEST_CASE("after an operator's mark") {
+  VirtualSite site(Options());
+  site.RunFor(seconds(3));
+  site.Mark("engine-1", MarkState::kLeaving);
+  site.RunFor(seconds(1));
+  const Time marked = site.Now();
+  SubmitSome(site, "a", 30);
+  CHECK(StartsAfter(site, "engine-1", marked) == 0);
+  CHECK(StartsAfter(site, "engine-2", marked) == 30);
+  site.Mark("engine-1", MarkState::kInService);
+  site.RunFor(seconds(1));
+  SubmitSome(site, "b", 30);
+  CHECK(StartsAfter(site, "engine-1", marked) > 0);
+}
+
+TEST_CASE("after the platform's list names it") {
+  VirtualSite site(Options());
+  site.RunFor(seconds(3));
+  for (Host& host : site.hosts) {
+    host.instance->HandleInstanceList({}, {{"engine-1"}}, site.Now());
+  }
+  const Time listed = site.Now();
+  SubmitSome(site, "c", 30);
+  CHECK(StartsAfter(site, "engine-1", listed) == 0);
+}
+
+TEST_CASE("a grant that a scheduler gave before it knew is not used") {
+  VirtualSite site(Options());
+  site.RunFor(seconds(3));
+  const size_t scheduler = site.SchedulerOf("model");
+  const size_t entry = (scheduler + 1) % 3;
+  // Only the entry knows of the mark.
+  site.hosts[entry].instance->HandleInstanceList({}, {{"engine-1"}},
+                                                 site.Now());
+  const Time listed = site.Now();
+  for (int i = 0; i < 20; ++i) {
+    const size_t caller =
+        site.Submit(entry, "question", "q" + std::to_string(i));
+    site.RunFor(milliseconds(200));
+    REQUIRE(site.callers[caller].outcome);
+    CHECK(std::holds_alternative<Answered>(*site.callers[caller].outcome));
+  }
+  CHECK(StartsAfter(site, "engine-1", listed) == 0);
+}
+
+}  // namespace
+}  // namespace pomeloring::test
--- /dev/null
+++ b/test/correctness/planned_stop_cuts_off_nothing_test.cc
@@ -0,0 +1,40 @@
+#include <doctest/doctest.h>
+
+#include "support/virtual_site.h"
+
+namespace pomeloring::test {
+namespace {
+
+TEST_CASE("a stopping instance finishes what it has and hands on its queue") {
+  SiteOptions options;
+  options.config_text = SmallConfig(1, 1, 2);
+  options.run_time = milliseconds(400);
+  VirtualSite site(options);
+  site.RunFor(seconds(3));
+  const size_t scheduler = site.SchedulerOf("model");
+  std::vector<size_t> all;
+  for (int i = 0; i < 9; ++i) {
+    all.push_back(site.Submit(static_cast<size_t>(i) % 3, "history",
+                              "h" + std::to_string(i)));
+  }
+  site.RunFor(milliseconds(100));
+  site.Stop(scheduler);
+  site.RunFor(seconds(1));
+  // Callers that hold its address may still come.
+  all.push_back(site.Submit(scheduler, "history", "late"));
+  CHECK(site.SchedulerOf("model") != scheduler);
+  for (const auto& [name, member] :
+       site.hosts[(scheduler + 1) % 3].instance->View()->live) {
+    CHECK(name != site.hosts[scheduler].name);
+  }
+  site.RunFor(seconds(20));
+  for (const size_t caller : all) {
+    REQUIRE(site.callers[caller].outcome);
+    CHECK(std::holds_alternative<Answered>(*site.callers[caller].outcome));
+    CHECK(site.callers[caller].runs == 1);
+  }
+  CHECK(site.hosts[scheduler].instance->InFlight() == 0);
+}
+
+}  // namespace
+}  // namespace pomeloring::test
--- /dev/null
+++ b/test/correctness/repeated_bound_key_runs_once_test.cc
@@ -0,0 +1,133 @@
+#include <doctest/doctest.h>
+
+#include "support/virtual_site.h"
+
+namespace pomeloring::test {
+namespace {
+
+SiteOptions Options() {
+  SiteOptions options;
+  options.config_text = SmallConfig(2, 1, 8);
+  return options;
+}
+
+bool IsAnswered(const CallerRecord& record) {
+  return record.outcome && std::holds_alternative<Answered>(*record.outcome);
+}
+
+template <typename T>
+bool Is(const CallerRecord& record) {
+  return record.outcome && std::holds_alternative<T>(*record.outcome);
+}
+
+int RunsOf(const VirtualSite& site, const std::string& body) {
+  int runs = 0;
+  for (const auto& [name, upstream] : site.upstreams) {
+    const auto it = upstream.runs.find(body);
+    runs += it == upstream.runs.end() ? 0 : it->second;
+  }
+  return runs;
+}
+
+TEST_CASE("sent again through the same and another instance") {
+  VirtualSite site(Options());
+  site.RunFor(seconds(3));
+  const std::string key = site.BoundKey(0, "a");
+  const size_t first = site.Submit(0, "stamp", "b1", key);
+  site.RunFor(seconds(1));
+  const size_t same = site.Submit(0, "stamp", "b1", key);
+  const size_t other = site.Submit(1, "stamp", "b1", key);
+  site.RunFor(seconds(1));
+  CHECK(IsAnswered(site.callers[first]));
+  CHECK(Is<Replayed>(site.callers[same]));
+  CHECK(Is<Replayed>(site.callers[other]));
+  CHECK(RunsOf(site, "b1") == 1);
+}
+
+TEST_CASE("sent again while it runs") {
+  VirtualSite site(Options());
+  site.RunFor(seconds(3));
+  const std::string key = site.BoundKey(0, "a");
+  site.Submit(0, "stamp", "b1", key);
+  site.RunFor(milliseconds(20));
+  const size_t other = site.Submit(1, "stamp", "b1", key);
+  site.RunFor(seconds(1));
+  CHECK(Is<KeyInProgress>(site.callers[other]));
+  CHECK(RunsOf(site, "b1") == 1);
+}
+
+TEST_CASE("sent again after the upstream's reply was lost") {
+  VirtualSite site(Options());
+  site.RunFor(seconds(3));
+  site.upstreams[{"ledger-1"}].lose_replies = 1;
+  const std::string key = site.BoundKey(0, "a");
+  const size_t first = site.Submit(0, "stamp", "b1", key);
+  site.RunFor(seconds(1));
+  const size_t again = site.Submit(2, "stamp", "b1", key);
+  site.RunFor(seconds(1));
+  CHECK(Is<OutcomeUnknown>(site.callers[first]));
+  CHECK(Is<OutcomeUnknown>(site.callers[again]));
+  CHECK(RunsOf(site, "b1") == 1);
+}
+
+TEST_CASE("sent again after its instance was replaced under the same address") {
+  VirtualSite site(Options());
+  site.RunFor(seconds(3));
+  const std::string key = site.BoundKey(0, "a");
+  site.Submit(0, "stamp", "b1", key);
+  site.RunFor(seconds(1));
+  site.Restart(0);
+  site.RunFor(seconds(5));
+  const size_t at_new = site.Submit(0, "stamp", "b1", key);
+  const size_t at_other = site.Submit(1, "stamp", "b1", key);
+  site.RunFor(seconds(1));
+  CHECK(Is<OutcomeUnknown>(site.callers[at_new]));
+  CHECK(Is<OutcomeUnknown>(site.callers[at_other]));
+  CHECK(RunsOf(site, "b1") == 1);
+}
+
+TEST_CASE("sent again while its instance is paused, which then wakes") {
+  VirtualSite site(Options());
+  site.RunFor(seconds(3));
+  const std::string key = site.BoundKey(0, "a");
+  const size_t first = site.Submit(0, "stamp", "b1", key);
+  site.Pause(0);
+  const size_t again = site.Submit(1, "stamp", "b1", key);
+  site.RunFor(seconds(20));
+  CHECK(RunsOf(site, "b1") == 0);
+  site.Resume(0);
+  site.RunFor(seconds(20));
+  CHECK(RunsOf(site, "b1") <= 1);
+  CHECK(site.callers[first].outcome);
+  CHECK(site.callers[again].outcome);
+}
+
+TEST_CASE("the same key with another body is refused") {
+  VirtualSite site(Options());
+  site.RunFor(seconds(3));
+  const std::string key = site.BoundKey(0, "a");
+  site.Submit(0, "stamp", "b1", key);
+  site.RunFor(seconds(1));
+  const size_t other = site.Submit(1, "stamp", "b2", key);
+  site.RunFor(seconds(1));
+  CHECK(Is<KeyReused>(site.callers[other]));
+  CHECK(RunsOf(site, "b2") == 0);
+}
+
+TEST_CASE("a refusal that provably started nothing is tried elsewhere") {
+  SiteOptions options = Options();
+  options.config_text = SmallConfig(2, 2, 8);
+  VirtualSite site(options);
+  site.RunFor(seconds(3));
+  site.upstreams[{"ledger-1"}].is_down = true;
+  for (int i = 0; i < 4; ++i) {
+    const std::string body = "b" + std::to_string(i);
+    const size_t caller = site.Submit(0, "stamp", body, site.BoundKey(0, body));
+    site.RunFor(seconds(1));
+    CHECK(IsAnswered(site.callers[caller]));
+    CHECK(RunsOf(site, body) == 1);
+  }
+}
+
+}  // namespace
+}  // namespace pomeloring::test
--- /dev/null
+++ b/test/support/virtual_site.h
@@ -0,0 +1,191 @@
+// Defines VirtualSite: a handful of core instances in virtual time, with fakes
+// at their interfaces and faults on every link.
+
+#ifndef POMELORING_TEST_SUPPORT_VIRTUAL_SITE_H_
+#define POMELORING_TEST_SUPPORT_VIRTUAL_SITE_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "pomeloring/core.h"
+
+namespace pomeloring::test {
+
+struct SiteOptions {
+  size_t instances = 3;
+  uint64_t seed = 1;
+  std::string config_text;
+  Duration tick = milliseconds(10);
+  Duration link_delay = milliseconds(1);
+  Duration run_time = milliseconds(40);  // Of one request at an upstream.
+  uint32_t tokens_per_run = 10;          // Of a model's answer.
+  size_t timeline_events = 256;
+};
+
+// What one caller was told.
+struct CallerRecord {
+  RequestId id;
+  size_t host = 0;
+  ClassName request_class;
+  std::string key;
+  std::string body;
+  Time sent;
+  std::optional<Outcome> outcome;
+  Time answered;
+  int answers = 0;  // Final answers; more than one is a fault.
+  int runs = 0;     // At upstreams, by this request id.
+  bool host_lost = false;
+  std::optional<size_t> forwarded_as;  // Index of the record at the owner.
+};
+
+struct FakeUpstream {
+  Upstream upstream;
+  bool is_down = false;  // Refuses connections.
+  int lose_replies = 0;  // Runs, then the connection breaks.
+  int refuse = 0;        // Refuses before it starts.
+  double slow_factor = 1;
+  std::map<std::string, int> runs;  // By body.
+  int running = 0;
+  int most_running = 0;
+};
+
+struct FakeLog {
+  std::map<LogStream, std::vector<std::string>> records;
+  std::map<LogStream, uint64_t> first;  // First retained offset.
+  bool is_down = false;
+  int lose_replies = 0;
+};
+
+struct Host {
+  std::unique_ptr<Instance> instance;
+  InstanceName name;
+  uint64_t life = 0;  // Raised at each crash, so that late events are dropped.
+  bool is_up = false;
+  bool is_paused = false;
+  bool is_stopping = false;
+  std::deque<std::function<void()>> deferred;
+  std::map<LogStream, bool> reading;
+};
+
+class VirtualSite {
+ public:
+  explicit VirtualSite(SiteOptions options);
+
+  // Moves time on; `after_step` runs after every event.
+  void RunFor(Duration duration);
+  // Runs until `done` or for at most `limit`; returns whether it was done.
+  bool RunUntil(const std::function<bool()>& done, Duration limit);
+  std::function<void()> after_step;
+
+  // Callers. Returns an index into `callers`.
+  size_t Submit(size_t host,
+                std::string request_class,
+                std::string body,
+                std::string key = {},
+                std::string account = "one");
+  void CallerGone(size_t caller);
+
+  // Faults.
+  void Crash(size_t host);
+  void Restart(size_t host);
+  void Pause(size_t host);
+  void Resume(size_t host);
+  void Stop(size_t host);
+  void CutLink(size_t from, size_t to, bool cut);  // One way.
+  double drop_rate = 0;
+  double double_rate = 0;
+  Duration extra_delay{0};  // Up to this much more, at random: reorders.
+
+  // Operators.
+  std::string Publish(Revision base, const std::string& text);
+  void Mark(const std::string& target, MarkState state);
+  void DropRecordsBefore(LogStream stream, uint64_t offset);
+
+  std::string BoundKey(size_t host, const std::string& rest) const;
+  Time Now() const { return m_now; }
+  uint64_t Random() { return NextRandom(m_random); }
+  bool Chance(double rate);
+  size_t SchedulerOf(const std::string& service) const;
+  // An instance that is neither the scheduler nor its successor; needs three.
+  size_t BystanderOf(const std::string& service) const;
+
+  std::vector<Host> hosts;
+  std::vector<CallerRecord> callers;
+  std::map<UpstreamName, FakeUpstream> upstreams;
+  FakeLog log;
+  // Grants used, the newest last: attempt, upstream, time.
+  struct Start {
+    AttemptId attempt;
+    UpstreamName upstream;
+    Time at;
+    uint32_t resume_from = 0;
+  };
+  std::vector<Start> starts;
+  std::set<std::pair<RequestId, uint32_t>> cancelled;
+
+ private:
+  struct Event {
+    Time at;
+    uint64_t order;
+    std::function<void()> run;
+    bool operator>(const Event& other) const {
+      return std::tie(at, order) > std::tie(other.at, other.order);
+    }
+  };
+
+  void At(Time at, std::function<void()> run);
+  // Runs at a host unless it has crashed since; waits while it is paused.
+  void AtHost(size_t host, Time at, std::function<void()> run);
+  void Boot(size_t host);
+  void Carry(size_t host, Actions actions);
+  void Do(size_t host, const SendSlotMessage& action);
+  void Do(size_t host, const SendDatagram& action);
+  void Do(size_t host, const StartUpstream& action);
+  void Do(size_t host, const CancelUpstream& action);
+  void Do(size_t host, const FinishRequest& action);
+  void Do(size_t host, const ForwardRequest& action);
+  void Do(size_t host, const AppendRecord& action);
+  void Do(size_t host, const FetchConfiguration& action);
+  void Do(size_t host, const SendOrder& action);
+  void Do(size_t host, const StopSuperseded& action);
+  void Tick(size_t host);
+  void ReadLog(size_t host, LogStream stream);
+  void EndRun(size_t host,
+              const StartUpstream& start,
+              uint32_t tokens,
+              AttemptOutcome outcome);
+  void Transmit(size_t from, size_t to, std::function<void()> deliver);
+  Duration Delay();
+  std::optional<size_t> HostAt(const std::string& address) const;
+  CallerRecord* RecordOf(const RequestId& id);
+  void Answer(CallerRecord& record, const Outcome& outcome);
+  // Callers get the same from a forwarded request as its owner answered.
+  void PassBack(size_t owner_record, size_t origin_record);
+
+  const SiteOptions m_options;
+  Time m_now{seconds(1000)};
+  uint64_t m_order = 0;
+  uint64_t m_random;
+  uint64_t m_next_life = 1;
+  uint64_t m_next_publish = 1;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+  std::set<std::pair<size_t, size_t>> m_cut;
+  std::map<RequestId, size_t> m_record_of;
+  std::map<RequestId, uint32_t> m_tokens;
+};
+
+// A small configuration: a plain service `ledger` with the class `stamp`
+// (tier 1, not idempotent, served late), a model service `model` with the
+// classes `question` (tier 2, dropped when late) and `history` (tier 5).
+std::string SmallConfig(size_t engines, size_t ledgers, uint32_t slots);
+
+}  // namespace pomeloring::test
+
+#endif  // POMELORING_TEST_SUPPORT_VIRTUAL_SITE_H_
--- /dev/null
+++ b/tools/generate_wire.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Generates the committed protobuf code anew; with --check only says whether it
+# is what the .proto file gives.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+out=src/link/generated
+if [[ ${1:-} == --check ]]; then
+  out=$(mktemp -d)
+  trap 'rm -rf "$out"' EXIT
+fi
+protoc -I proto --cpp_out="$out" --grpc_out="$out" \
+  --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" \
+  proto/pomeloring.proto
+if [[ ${1:-} == --check ]]; then
+  diff -r "$out" src/link/generated
+  echo "generated code: up to date"
+fi
