--- a/src/core/cell.cc
+++ b/src/core/cell.cc
@@ -18,6 +18,7 @@
 constexpr double kFreesPerAgedGrant = 20;
 // A run that an entry no longer tells of is forgotten after this time.
 constexpr Duration kUnreportedRun = seconds(3);
+constexpr Duration kSweepInterval = milliseconds(500);
 // The limit starts at this share of the configured slots and is learnt.
 constexpr double kFirstLimitShare = 0.5;
 
@@ -318,6 +319,43 @@
   }
 }
 
+// An entry tells every second of what it runs in a cell, as long as it runs
+// anything there. A grant that was lost on its way to an entry that runs
+// nothing else would otherwise be held for ever.
+void SweepUnreported(CellState& cell, Time now) {
+  const auto is_silent = [&](const InstanceName& entry) {
+    const auto it = cell.last_report.find(entry);
+    return it == cell.last_report.end() || now - it->second > kUnreportedRun;
+  };
+  std::vector<AttemptId> lost;
+  for (const auto& [attempt, grant] : cell.grants) {
+    if (now - grant.since > kUnreportedRun && is_silent(grant.entry)) {
+      lost.push_back(attempt);
+    }
+  }
+  for (const AttemptId& attempt : lost) {
+    EndGrant(cell, attempt);
+  }
+  for (Replica& replica : cell.replicas) {
+    std::erase_if(replica.inherited,
+                  [&](const auto& entry) { return is_silent(entry.first); });
+  }
+}
+
+// Asks whose last upstream has left while they waited are answered at once.
+void GiveUpWithoutUpstream(CellState& cell, CellReplies& replies, Time now) {
+  std::vector<AttemptId> hopeless;
+  for (const auto& [attempt, waiting] : cell.queue.asks) {
+    if (!HasReplica(cell, waiting.ask)) {
+      hopeless.push_back(attempt);
+    }
+  }
+  for (const AttemptId& attempt : hopeless) {
+    const auto waiting = RemoveAsk(cell.queue, attempt);
+    replies.push_back(Decline(cell, *waiting, DeclineReason::kNoUpstream, now));
+  }
+}
+
 Duration TightestStep(const CellState& cell) {
   Duration tightest{0};
   for (const auto& [name, of_class] : cell.classes) {
@@ -480,6 +518,7 @@
 CellReplies HandleRunningSlots(CellState& cell,
                                const RunningSlots& running,
                                Time now) {
+  cell.last_report[running.entry] = now;
   for (uint32_t i = 0; i < cell.replicas.size(); ++i) {
     Replica& replica = cell.replicas[i];
     uint32_t reported = 0;
@@ -529,6 +568,7 @@
   for (Replica& replica : cell.replicas) {
     replica.inherited.erase(entry);
   }
+  cell.last_report.erase(entry);
   CellReplies replies;
   GrantAll(cell, replies, now);
   return replies;
@@ -547,7 +587,12 @@
 
 CellReplies TickCell(CellState& cell, Time now) {
   CellReplies replies;
-  ExpireAsks(cell, now);
+  if (now >= cell.next_sweep) {
+    cell.next_sweep = now + kSweepInterval;
+    SweepUnreported(cell, now);
+    ExpireAsks(cell, now);
+    GiveUpWithoutUpstream(cell, replies, now);
+  }
   GiveUpLate(cell, replies, now);
   GrantAll(cell, replies, now);
   return replies;
--- a/src/core/cell.h
+++ b/src/core/cell.h
@@ -48,6 +48,8 @@
   // granted before the time at which that ask would have been too late.
   std::map<Tier, Time> no_lower_until;
   Time last_aged_grant;
+  std::map<InstanceName, Time> last_report;  // Of what an entry runs here.
+  Time next_sweep;
   uint64_t random = 1;
 };
 
--- a/src/core/cluster_view.cc
+++ b/src/core/cluster_view.cc
@@ -33,6 +33,10 @@
     cell.region = upstreams.front().region;
     cell.schedulers = RendezvousOrder(id.value, Candidates(live, cell.region),
                                       kSchedulersPerCell);
+    // While every instance is stopping, each schedules what it still has.
+    if (cell.schedulers.empty()) {
+      cell.schedulers = {view.self.name};
+    }
     cell.upstreams = std::move(upstreams);
     view.cells_of_service[service.name].push_back(id);
     view.cells[id] = std::move(cell);
--- a/src/core/config_history.cc
+++ b/src/core/config_history.cc
@@ -209,6 +209,14 @@
   }
 }
 
+// True if no record between what is in force and the first waiting record is
+// missing.
+bool WaitingJoins(const ConfigHistory& history) {
+  return history.in_force &&
+         (history.waiting.empty() || history.waiting.front().offset.value <=
+                                         history.in_force->as_of.value + 1);
+}
+
 bool ApplyWaiting(ConfigHistory& history) {
   bool changed = false;
   for (const LogRecord& record : history.waiting) {
@@ -282,9 +290,7 @@
                          std::make_move_iterator(records.begin()),
                          std::make_move_iterator(records.end()));
   const LogOffset first_read = history.waiting.front().offset;
-  const bool joins =
-      history.in_force && first_read.value <= history.in_force->as_of.value + 1;
-  if (joins) {
+  if (WaitingJoins(history)) {
     return ApplyWaiting(history);
   }
   const std::optional<ConfigInForce> before = history.in_force;
@@ -319,8 +325,12 @@
   if (history.last_snapshot_seen == Time{}) {
     history.last_snapshot_seen = now;
   }
-  // Records that waited for a snapshot join the peer's state from here on.
-  ApplyWaiting(history);
+  // Records that waited for a snapshot may join the peer's state. They may also
+  // begin later: the peer is at 3, 4 has expired, 5 was read here. Applying 5
+  // on 3 would lose 4.
+  if (WaitingJoins(history)) {
+    ApplyWaiting(history);
+  }
   return true;
 }
 
--- a/src/core/instance.cc
+++ b/src/core/instance.cc
@@ -676,6 +676,7 @@
   {
     const std::lock_guard lock(m_config_mutex);
     adopted = AdoptFromPeer(m_history, std::move(peer_state), now);
+    m_has_caught_up |= adopted;
   }
   if (adopted) {
     RebuildView(now, out);
@@ -697,6 +698,7 @@
 Actions Instance::HandleLogRead(LogStream stream,
                                 std::vector<LogRecord> records,
                                 LogOffset first_retained,
+                                bool is_end,
                                 Time now) {
   Actions out;
   if (stream == LogStream::kConfiguration) {
@@ -706,7 +708,10 @@
       const std::lock_guard lock(m_config_mutex);
       changed =
           ApplyRecords(m_history, std::move(records), first_retained, now);
-      as_of = m_history.in_force ? m_history.in_force->as_of : LogOffset{};
+      changed |= is_end && !m_has_caught_up;
+      m_has_caught_up |= is_end;
+      as_of = m_history.in_force && m_has_caught_up ? m_history.in_force->as_of
+                                                    : LogOffset{};
     }
     {
       const std::lock_guard lock(m_membership_mutex);
@@ -799,7 +804,7 @@
   ConfigInForce config;
   {
     const std::lock_guard lock(m_config_mutex);
-    if (m_history.in_force) {
+    if (m_history.in_force && m_has_caught_up) {
       config = *m_history.in_force;
     } else {
       config.configuration = std::make_shared<const Configuration>();
@@ -1040,7 +1045,7 @@
 
 std::optional<ConfigInForce> Instance::ConfigurationInForce() const {
   const std::lock_guard lock(m_config_mutex);
-  return m_history.in_force;
+  return m_has_caught_up ? m_history.in_force : std::nullopt;
 }
 
 std::optional<PublishOutcome> Instance::OutcomeOf(
--- a/src/core/instance.h
+++ b/src/core/instance.h
@@ -95,9 +95,13 @@
 
   // The platform.
   LogOffset NextOffset(LogStream stream) const;
+  // `is_end` says that the log held no more records. Until a reader has been
+  // there once, or has a peer's state, what it has read may be long replaced
+  // and is not in force here.
   Actions HandleLogRead(LogStream stream,
                         std::vector<LogRecord> records,
                         LogOffset first_retained,
+                        bool is_end,
                         Time now);
   Actions HandleLogReadFailed(LogStream stream, Time now);
   Actions HandleAppendEnded(LogStream stream, bool succeeded, Time now);
@@ -216,6 +220,7 @@
 
   mutable std::mutex m_config_mutex;
   ConfigHistory m_history;
+  bool m_has_caught_up = false;
   Time m_snapshot_at;
   uint64_t m_random;
 
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -272,8 +272,8 @@
       const ReadResult result = co_await m_platform->Read(
           stream, m_instance->NextOffset(stream), kLogWait);
       if (const auto* page = std::get_if<LogPage>(&result)) {
-        Run(m_instance->HandleLogRead(stream, page->records,
-                                      page->first_retained, Now()));
+        Run(m_instance->HandleLogRead(
+            stream, page->records, page->first_retained, page->is_end, Now()));
         continue;
       }
       m_log.Write(LogLevel::kWarning, "log-read-failed",
--- a/src/platform/http_platform.cc
+++ b/src/platform/http_platform.cc
@@ -15,7 +15,7 @@
 namespace http = boost::beast::http;
 namespace json = boost::json;
 
-constexpr int kRecordsPerRead = 512;
+constexpr size_t kRecordsPerRead = 512;
 
 std::optional<json::value> ParseReply(const HttpResponseMessage& response) {
   json::error_code error;
@@ -41,6 +41,7 @@
   if (error) {
     return std::nullopt;
   }
+  page.is_end = page.records.size() < kRecordsPerRead;
   return page;
 }
 
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -26,6 +26,7 @@
 struct LogPage {
   LogOffset first_retained{1};
   std::vector<LogRecord> records;
+  bool is_end = false;  // The log held no more records.
 };
 
 struct PlatformList {
--- a/test/correctness/configuration_reaches_all_while_the_log_is_out_test.cc
+++ b/test/correctness/configuration_reaches_all_while_the_log_is_out_test.cc
@@ -36,7 +36,7 @@
       {LogOffset{2}, site.log.records[LogStream::kConfiguration][1]}};
   site.log.is_down = true;
   site.hosts[4].instance->HandleLogRead(LogStream::kConfiguration, records,
-                                        LogOffset{1}, site.Now());
+                                        LogOffset{1}, true, site.Now());
   site.RunFor(seconds(15));
   for (size_t host = 0; host < 9; ++host) {
     CHECK(RevisionAt(site, host).value == 2);
@@ -59,6 +59,27 @@
   CHECK(not_run->reason == DeclineReason::kNotReady);
 }
 
+TEST_CASE("a reader puts nothing in force before it has caught up") {
+  InstanceSettings settings;
+  settings.self.name.value = "fresh";
+  settings.self.incarnation.value = 1;
+  Instance instance(settings);
+  const auto record = [](uint64_t offset, uint64_t base) {
+    return LogRecord{LogOffset{offset},
+                     EncodeConfigRecord(PublishRecord{
+                         "p" + std::to_string(offset), Revision{base},
+                         SmallConfig(1, 1, 2), ""})};
+  };
+  instance.HandleLogRead(LogStream::kConfiguration, {record(1, 0)},
+                         LogOffset{1}, false, Time{seconds(1)});
+  CHECK(!instance.IsReady());
+  CHECK(!instance.ConfigurationInForce());
+  instance.HandleLogRead(LogStream::kConfiguration, {record(2, 1)},
+                         LogOffset{1}, true, Time{seconds(1)});
+  CHECK(instance.IsReady());
+  CHECK(instance.ConfigurationInForce()->revision.value == 2);
+}
+
 TEST_CASE("snapshots are appended before the records expire") {
   SiteOptions options;
   options.config_text = SmallConfig(1, 1, 2);
--- a/test/correctness/leaving_upstream_gets_no_new_work_test.cc
+++ b/test/correctness/leaving_upstream_gets_no_new_work_test.cc
@@ -72,5 +72,30 @@
   CHECK(StartsAfter(site, "engine-1", listed) == 0);
 }
 
+TEST_CASE("asks that wait for it are answered when it was the last") {
+  SiteOptions options;
+  options.config_text = SmallConfig(1, 1, 2);
+  options.run_time = seconds(20);
+  VirtualSite site(options);
+  site.RunFor(seconds(3));
+  std::vector<size_t> all;
+  for (int i = 0; i < 6; ++i) {
+    all.push_back(site.Submit(0, "history", "h" + std::to_string(i)));
+  }
+  site.RunFor(seconds(1));
+  site.Mark("engine-1", MarkState::kLeaving);
+  site.RunFor(seconds(2));
+  int not_run = 0;
+  for (const size_t caller : all) {
+    const auto& outcome = site.callers[caller].outcome;
+    not_run += outcome && std::holds_alternative<NotRun>(*outcome) ? 1 : 0;
+  }
+  CHECK(not_run == 5);
+  site.RunFor(seconds(30));
+  for (const size_t caller : all) {
+    CHECK(site.callers[caller].outcome);
+  }
+}
+
 }  // namespace
 }  // namespace pomeloring::test
--- a/test/correctness/planned_stop_cuts_off_nothing_test.cc
+++ b/test/correctness/planned_stop_cuts_off_nothing_test.cc
@@ -36,5 +36,26 @@
   CHECK(site.hosts[scheduler].instance->InFlight() == 0);
 }
 
+TEST_CASE("when all stop at once, each finishes what it has") {
+  SiteOptions options;
+  options.config_text = SmallConfig(1, 1, 2);
+  options.run_time = milliseconds(400);
+  VirtualSite site(options);
+  site.RunFor(seconds(3));
+  for (size_t host = 0; host < 3; ++host) {
+    site.Stop(host);
+  }
+  site.RunFor(seconds(1));
+  std::vector<size_t> all;
+  for (size_t i = 0; i < 6; ++i) {
+    all.push_back(site.Submit(i % 3, "history", "h" + std::to_string(i)));
+  }
+  site.RunFor(seconds(10));
+  for (const size_t caller : all) {
+    REQUIRE(site.callers[caller].outcome);
+    CHECK(std::holds_alternative<Answered>(*site.callers[caller].outcome));
+  }
+}
+
 }  // namespace
 }  // namespace pomeloring::test
--- a/test/support/virtual_site.cc
+++ b/test/support/virtual_site.cc
@@ -147,8 +147,8 @@
     records.push_back({LogOffset{offset}, all[offset - 1]});
   }
   AtHost(host, replied, [this, host, stream, records, first] {
-    Carry(host, hosts[host].instance->HandleLogRead(stream, records,
-                                                    LogOffset{first}, m_now));
+    Carry(host, hosts[host].instance->HandleLogRead(
+                    stream, records, LogOffset{first}, true, m_now));
   });
   AtHost(host, m_now + kLogPoll,
          [this, host, stream] { ReadLog(host, stream); });
@@ -222,14 +222,14 @@
                          const StartUpstream& start,
                          uint32_t tokens,
                          AttemptOutcome outcome) {
-  m_tokens[start.attempt.request] = tokens;
+  m_delivered[start.attempt.request] = tokens;
   Carry(host, hosts[host].instance->HandleUpstreamEnded(start.attempt, outcome,
                                                         tokens, m_now));
 }
 
 void VirtualSite::Do(size_t host, const StartUpstream& start) {
-  starts.push_back(
-      {start.attempt, start.upstream.name, m_now, start.resume_from});
+  starts.push_back({start.attempt, start.upstream.name, m_now,
+                    start.resume_from, m_delivered[start.attempt.request]});
   FakeUpstream& upstream = upstreams[start.upstream.name];
   const Time arrives = m_now + m_options.link_delay;
   CallerRecord* record = RecordOf(start.attempt.request);
@@ -317,10 +317,13 @@
     }
   });
   AtHost(*to, m_now + m_options.link_delay, [this, to, origin] {
-    CallerRecord forwarded = callers[origin];
+    CallerRecord forwarded;
     forwarded.id = hosts[*to].instance->NextRequestId();
     forwarded.host = *to;
-    forwarded.runs = 0;
+    forwarded.request_class = callers[origin].request_class;
+    forwarded.key = callers[origin].key;
+    forwarded.body = callers[origin].body;
+    forwarded.sent = callers[origin].sent;
     callers.push_back(forwarded);
     const size_t index = callers.size() - 1;
     callers[origin].forwarded_as = index;
--- a/test/support/virtual_site.h
+++ b/test/support/virtual_site.h
@@ -126,6 +126,7 @@
     UpstreamName upstream;
     Time at;
     uint32_t resume_from = 0;
+    uint32_t delivered = 0;  // Tokens that the caller had got by then.
   };
   std::vector<Start> starts;
   std::set<std::pair<RequestId, uint32_t>> cancelled;
@@ -178,7 +179,7 @@
   std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
   std::set<std::pair<size_t, size_t>> m_cut;
   std::map<RequestId, size_t> m_record_of;
-  std::map<RequestId, uint32_t> m_tokens;
+  std::map<RequestId, uint32_t> m_delivered;
 };
 
 // A small configuration: a plain service `ledger` with the class `stamp`
--- /dev/null
+++ b/tools/run_mutations.py
@@ -0,0 +1,122 @@
+#!/usr/bin/env python3
+"""Plants one fault after the other in a copy of the sources and shows that the
+promise fuzzer catches each. Exits with 1 where one is missed."""
+
+import argparse
+import pathlib
+import shutil
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+WORK = ROOT / "build-mutations"
+
+# Name, file, what stands there, what is planted.
+MUTATIONS = [
+    ("repeats what may have run", "entry.cc",
+     "request.of_class.idempotent || !request.may_have_started;", "true;"),
+    ("forgets that an attempt may have started", "entry.cc",
+     "request->may_have_started |= !not_started;",
+     "request->may_have_started |= false;"),
+    ("says not-run after a start", "entry.cc",
+     "if (request.may_have_started) {\n    return OutcomeUnknown",
+     "if (false) {\n    return OutcomeUnknown"),
+    ("resumes at the start", "entry.cc",
+     "StartUpstream{granted.attempt, *upstream, request->tokens}",
+     "StartUpstream{granted.attempt, *upstream, 0}"),
+    ("uses a grant at a leaving upstream", "entry.cc",
+     "upstream == nullptr || view.leaving.contains(granted.upstream)",
+     "upstream == nullptr"),
+    ("never gives up", "entry.cc",
+     "return now >= GiveUpAt(request);", "return false && now >= GiveUpAt(request);"),
+    ("runs a key whose outcome is unknown again", "idempotency_key.cc",
+     "return OutcomeUnknown{UnknownReason::kUpstreamLost};",
+     "return KeyBegun{};"),
+    ("runs a bound key at any instance", "instance.cc",
+     "if (incarnation == m_settings.self.incarnation) {", "if (true) {"),
+    ("lets the last claim of a key win", "key_claim.cc",
+     "if (is_first) {", "it->second = owner;\n      if (is_first) {"),
+    ("starts a claim that was given up", "instance.cc",
+     "expired.push_back(it->second);\n        m_claiming.erase(it);",
+     "expired.push_back(it->second);"),
+    ("accepts a publish on any base", "config_history.cc",
+     "if (record.base != in_force.revision) {", "if (false) {"),
+    ("joins records across a gap", "config_history.cc",
+     "(history.waiting.empty() || history", "(true || history"),
+    ("takes over an older state", "config_history.cc",
+     "if (!ahead) {", "if (false && !ahead) {"),
+    ("keeps lost grants", "cell.cc",
+     "if (now - grant.since > kUnreportedRun && is_silent(grant.entry)) {",
+     "if (false && is_silent(grant.entry)) {"),
+    ("leaves the queue to a dead scheduler", "entry.cc",
+     "request.phase == RequestPhase::kAsking && request.holder == instance;",
+     "false && request.holder == instance;"),
+]
+
+
+def prepare():
+    shutil.rmtree(WORK / "source", ignore_errors=True)
+    for folder in ("src", "include", "test"):
+        shutil.copytree(ROOT / folder, WORK / "source" / folder)
+
+
+def compile_fuzzer(jobs):
+    source = WORK / "source"
+    objects = WORK / "objects"
+    objects.mkdir(exist_ok=True)
+    files = sorted((source / "src/core").glob("*.cc")) + [
+        source / "test/support/virtual_site.cc",
+        source / "test/fuzz/promise_run.cc",
+        source / "test/fuzz/promise_fuzz.cc",
+    ]
+    makefile = ["all: fuzz", "FLAGS = -std=c++20 -O1 -w -I%s/src -I%s/include "
+                "-I%s/test" % (source, source, source)]
+    names = []
+    for file in files:
+        name = objects / (file.stem + ".o")
+        names.append(str(name))
+        makefile.append("%s: %s\n\tccache g++ $(FLAGS) -c $< -o $@" % (name, file))
+    makefile.append("fuzz: %s\n\tg++ $^ -lfmt -lboost_json -o %s/fuzz" %
+                    (" ".join(names), WORK))
+    (WORK / "Makefile").write_text("\n".join(makefile) + "\n")
+    subprocess.run(["make", "-s", "-j", str(jobs), "-C", str(WORK)], check=True)
+
+
+def fuzz(runs):
+    result = subprocess.run(
+        [WORK / "fuzz", "--seed", "1", "--runs", str(runs), "--steps", "150",
+         "--first"],
+        capture_output=True, text=True, check=False)
+    caught = [line for line in result.stdout.splitlines() if line.startswith("seed")]
+    return caught
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--runs", type=int, default=300)
+    parser.add_argument("--jobs", type=int, default=4)
+    options = parser.parse_args()
+    WORK.mkdir(exist_ok=True)
+    prepare()
+    compile_fuzzer(options.jobs)
+    if fuzz(options.runs):
+        sys.exit("the unchanged sources break a promise; see promise_fuzz")
+    missed = 0
+    for name, file, old, new in MUTATIONS:
+        path = WORK / "source/src/core" / file
+        original = path.read_text()
+        if old not in original:
+            sys.exit("mutation '%s' does not fit %s any more" % (name, file))
+        path.write_text(original.replace(old, new, 1))
+        compile_fuzzer(options.jobs)
+        caught = fuzz(options.runs)
+        path.write_text(original)
+        missed += 0 if caught else 1
+        print("%-45s %s" % (name, caught[0][:110] if caught else "MISSED"),
+              flush=True)
+    print("%d passed, %d failed" % (len(MUTATIONS) - missed, missed))
+    sys.exit(1 if missed else 0)
+
+
+if __name__ == "__main__":
+    main()
