--- a/src/core/cell.cc
+++ b/src/core/cell.cc
@@ -356,6 +356,16 @@
   }
 }
 
+bool HasSameReplicas(const CellState& cell,
+                     std::span<const Upstream> upstreams) {
+  return std::equal(cell.replicas.begin(), cell.replicas.end(),
+                    upstreams.begin(), upstreams.end(),
+                    [](const Replica& replica, const Upstream& upstream) {
+                      return replica.upstream.name == upstream.name &&
+                             replica.upstream.slots == upstream.slots;
+                    });
+}
+
 Duration TightestStep(const CellState& cell) {
   Duration tightest{0};
   for (const auto& [name, of_class] : cell.classes) {
@@ -367,14 +377,11 @@
   return tightest;
 }
 
-bool HasSameReplicas(const CellState& cell,
-                     std::span<const Upstream> upstreams) {
-  return std::equal(cell.replicas.begin(), cell.replicas.end(),
-                    upstreams.begin(), upstreams.end(),
-                    [](const Replica& replica, const Upstream& upstream) {
-                      return replica.upstream.name == upstream.name &&
-                             replica.upstream.slots == upstream.slots;
-                    });
+// Where there is no step target to learn against, the configured slots hold.
+double FirstLimit(const CellState& cell, const Upstream& upstream) {
+  const auto slots = static_cast<double>(upstream.slots);
+  const bool is_learnt = TightestStep(cell) > Duration{0};
+  return is_learnt ? std::max(1.0, kFirstLimitShare * slots) : slots;
 }
 
 void RebuildReplicas(CellState& cell, std::span<const Upstream> upstreams) {
@@ -391,8 +398,7 @@
       replica.limit =
           std::min(replica.limit, static_cast<double>(upstream.slots));
     } else {
-      replica.limit =
-          std::max(1.0, kFirstLimitShare * static_cast<double>(upstream.slots));
+      replica.limit = FirstLimit(cell, upstream);
     }
     replica.upstream = upstream;
     replicas.push_back(std::move(replica));
--- a/src/core/entry.cc
+++ b/src/core/entry.cc
@@ -79,7 +79,8 @@
             std::shared_ptr<const KeptAnswer> answer = nullptr) {
   const RequestId id = request.request.id;
   output.actions.push_back(FinishRequest{id, outcome});
-  output.ended.push_back({request.request, outcome, std::move(answer)});
+  output.ended.push_back(
+      {request.request, request.of_class.tier, outcome, std::move(answer)});
   shard.requests.erase(id);
 }
 
--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -64,6 +64,7 @@
 // A request has ended; the instance passes it on to keys and limits.
 struct RequestEnded {
   CallerRequest request;
+  Tier tier;  // At its start; the configuration may have changed since.
   Outcome outcome;
   std::shared_ptr<const KeptAnswer> answer;
 };
--- a/src/core/instance.cc
+++ b/src/core/instance.cc
@@ -99,12 +99,19 @@
       return NotRun{DeclineReason::kDependencyDown, kComeBackSoon};
     }
   }
-  uint32_t& in_flight = m_in_flight[request.account];
+  const Tier tier = of_class->second.tier;
+  uint32_t in_flight = 0;
+  for (auto it = m_in_flight.lower_bound({request.account, Tier{0}});
+       it != m_in_flight.end() && it->first.first == request.account &&
+       it->first.second <= tier;
+       ++it) {
+    in_flight += it->second;
+  }
   const uint32_t most = account->second.max_in_flight;
   if (most > 0 && in_flight >= most) {
     return NotRun{DeclineReason::kAccountLimit, kComeBackSoon};
   }
-  ++in_flight;
+  ++m_in_flight[{request.account, tier}];
   return std::nullopt;
 }
 
@@ -337,7 +344,7 @@
   const auto& classes = view->config.configuration->classes;
   const auto of_class = classes.find(ended.request.request_class);
   const std::lock_guard lock(m_limits_mutex);
-  const auto in_flight = m_in_flight.find(ended.request.account);
+  const auto in_flight = m_in_flight.find({ended.request.account, ended.tier});
   if (in_flight != m_in_flight.end() && --in_flight->second == 0) {
     m_in_flight.erase(in_flight);
   }
--- a/src/core/instance.h
+++ b/src/core/instance.h
@@ -237,7 +237,9 @@
   std::map<InstanceName, SchedulerWatch> m_watched;
 
   mutable std::mutex m_limits_mutex;
-  std::map<AccountName, uint32_t> m_in_flight;
+  // By account and tier: lower tiers of an account never use up the limit of
+  // its higher ones.
+  std::map<std::pair<AccountName, Tier>, uint32_t> m_in_flight;
   std::map<ServiceName, Time> m_service_down_until;
   std::map<CellId, bool> m_reported_running;
 };
--- a/test/fuzz/promise_fuzz.cc
+++ b/test/fuzz/promise_fuzz.cc
@@ -64,8 +64,7 @@
     }
   }
   uint64_t failed = 0;
-  for (uint64_t run = 0; run < runs && (failed == 0 || !first_only);
-       ++run) {
+  for (uint64_t run = 0; run < runs && (failed == 0 || !first_only); ++run) {
     const auto steps = pomeloring::test::MakeSteps(seed + run, count);
     const auto violation = pomeloring::test::RunSteps(seed + run, steps);
     if (violation) {
--- a/test/support/virtual_site.cc
+++ b/test/support/virtual_site.cc
@@ -213,6 +213,27 @@
   });
 }
 
+std::optional<size_t> VirtualSite::CallerOf(const RequestId& id) const {
+  const auto it = m_record_of.find(id);
+  return it == m_record_of.end() ? std::nullopt : std::optional(it->second);
+}
+
+void VirtualSite::TellFirstToken(size_t host, const AttemptId& attempt) {
+  AtHost(host, m_now, [this, host, attempt] {
+    Carry(host, hosts[host].instance->HandleFirstToken(attempt, m_now));
+  });
+}
+
+void VirtualSite::TellEnded(size_t host,
+                            const AttemptId& attempt,
+                            uint32_t tokens,
+                            const AttemptOutcome& outcome) {
+  AtHost(host, m_now, [this, host, attempt, tokens, outcome] {
+    Carry(host, hosts[host].instance->HandleUpstreamEnded(attempt, outcome,
+                                                          tokens, m_now));
+  });
+}
+
 CallerRecord* VirtualSite::RecordOf(const RequestId& id) {
   const auto it = m_record_of.find(id);
   return it == m_record_of.end() ? nullptr : &callers[it->second];
@@ -230,6 +251,10 @@
 void VirtualSite::Do(size_t host, const StartUpstream& start) {
   starts.push_back({start.attempt, start.upstream.name, m_now,
                     start.resume_from, m_delivered[start.attempt.request]});
+  if (on_start) {
+    on_start(host, start);
+    return;
+  }
   FakeUpstream& upstream = upstreams[start.upstream.name];
   const Time arrives = m_now + m_options.link_delay;
   CallerRecord* record = RecordOf(start.attempt.request);
@@ -266,6 +291,9 @@
 }
 
 void VirtualSite::Do(size_t, const CancelUpstream& action) {
+  if (on_cancel) {
+    on_cancel(action);
+  }
   cancelled.insert({action.attempt.request, action.attempt.number});
 }
 
@@ -281,10 +309,12 @@
     return;
   }
   Answer(callers[it->second], action.outcome);
-  for (size_t i = 0; i < callers.size(); ++i) {
-    if (callers[i].forwarded_as == it->second) {
-      PassBack(it->second, i);
-    }
+  const auto [begin, end] = m_origins_of.equal_range(it->second);
+  for (auto origin = begin; origin != end; ++origin) {
+    PassBack(it->second, origin->second);
+  }
+  if (on_answer) {
+    on_answer(it->second);
   }
 }
 
@@ -327,6 +357,7 @@
     callers.push_back(forwarded);
     const size_t index = callers.size() - 1;
     callers[origin].forwarded_as = index;
+    m_origins_of.emplace(index, origin);
     m_record_of[forwarded.id] = index;
     CallerRequest request;
     request.id = forwarded.id;
@@ -403,7 +434,8 @@
   request.request_class = record.request_class;
   request.account.value = std::move(account);
   request.body_hash = StableHash(record.body);
-  request.prefix_hash = StableHash(record.body.substr(0, 4));
+  request.prefix_hash =
+      StableHash(record.body.substr(0, record.body.find('|')));
   request.key = record.key;
   AtHost(host, m_now, [this, host, request] {
     Carry(host, hosts[host].instance->HandleCallerRequest(request, m_now));
--- a/test/support/virtual_site.h
+++ b/test/support/virtual_site.h
@@ -83,8 +83,22 @@
   // Runs until `done` or for at most `limit`; returns whether it was done.
   bool RunUntil(const std::function<bool()>& done, Duration limit);
   std::function<void()> after_step;
+  void At(Time at, std::function<void()> run);
 
-  // Callers. Returns an index into `callers`.
+  // Takes the place of the built-in upstreams. What is started must be ended
+  // by TellEnded().
+  std::function<void(size_t host, const StartUpstream&)> on_start;
+  std::function<void(const CancelUpstream&)> on_cancel;
+  std::function<void(size_t caller)> on_answer;
+  void TellFirstToken(size_t host, const AttemptId& attempt);
+  void TellEnded(size_t host,
+                 const AttemptId& attempt,
+                 uint32_t tokens,
+                 const AttemptOutcome& outcome);
+  std::optional<size_t> CallerOf(const RequestId& id) const;
+
+  // Callers. Returns an index into `callers`. What stands before a '|' in the
+  // body is its prefix.
   size_t Submit(size_t host,
                 std::string request_class,
                 std::string body,
@@ -141,7 +155,6 @@
     }
   };
 
-  void At(Time at, std::function<void()> run);
   // Runs at a host unless it has crashed since; waits while it is paused.
   void AtHost(size_t host, Time at, std::function<void()> run);
   void Boot(size_t host);
@@ -179,6 +192,7 @@
   std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
   std::set<std::pair<size_t, size_t>> m_cut;
   std::map<RequestId, size_t> m_record_of;
+  std::multimap<size_t, size_t> m_origins_of;  // Of forwarded requests.
   std::map<RequestId, uint32_t> m_delivered;
 };
 
--- a/tools/run_mutations.py
+++ b/tools/run_mutations.py
@@ -55,7 +55,8 @@
 
 
 def prepare():
-    shutil.rmtree(WORK / "source", ignore_errors=True)
+    for stale in ("source", "objects"):
+        shutil.rmtree(WORK / stale, ignore_errors=True)
     for folder in ("src", "include", "test"):
         shutil.copytree(ROOT / folder, WORK / "source" / folder)
 
