Let the learnt limit rise again, decline early and keep slack in the queue

The limit rises only while the replica is full, and fullness was tested against the limit with its fraction (12 + 1 of 12.25 never is). Load now counts as full against whole slots. Cause 2: with a queue as long as the target, every request started at its last possible moment, so that no ask could wait for a replica that has its prefix and a slow first token was late. Of the first 16 asks of a flow, one whose prefix the free replica keeps goes first while the first has slack. Cause 3: requests that are served late were due at the end of their longest wait and went after all others of their tier; now at their target, and once overdue behind those that can still be on time, with one turn in 17. Cause 4: the block of lower tiers after a decline lasted up to the longest wait of a class (60 s); slots were idle. It ends at the target, or after 2 s.

--- a/src/core/ask_queue.cc
+++ b/src/core/ask_queue.cc
@@ -1,6 +1,8 @@
 #include "core/ask_queue.h"
 
+#include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace pomeloring {
 namespace {
@@ -32,6 +34,17 @@
   return total / static_cast<double>(tier.flows.size());
 }
 
+// The first that can still be on time, unless the overdue go first.
+const AskKey& FirstOfFlow(const std::set<AskKey>& keys,
+                          bool overdue_first,
+                          Time now) {
+  if (overdue_first) {
+    return *keys.begin();
+  }
+  const auto on_time = keys.lower_bound(AskKey{now, {}});
+  return on_time == keys.end() ? *keys.begin() : *on_time;
+}
+
 void ForgetOldUsage(AskQueue& queue, Time now) {
   std::erase_if(queue.usage, [&](const auto& usage) {
     return now - usage.second.updated > seconds(60);
@@ -45,6 +58,9 @@
   TierQueue& tier = queue.tiers[ask.tier];
   tier.flows[FlowOf(ask)].insert(key);
   tier.by_start.insert(key);
+  if (ask.drop_when_late) {
+    tier.droppable.insert(key);
+  }
   queue.asks[ask.ask.attempt] = std::move(ask);
 }
 
@@ -59,6 +75,7 @@
   const auto tier = queue.tiers.find(ask.tier);
   const auto flow = tier->second.flows.find(FlowOf(ask));
   tier->second.by_start.erase(key);
+  tier->second.droppable.erase(key);
   flow->second.erase(key);
   if (flow->second.empty()) {
     tier->second.flows.erase(flow);
@@ -69,56 +86,63 @@
   return ask;
 }
 
-size_t AsksAhead(const AskQueue& queue, Tier tier, Time latest_start) {
-  // Counting the place within a set is linear; half of a tier's own asks is
-  // assumed ahead once it is long.
-  constexpr size_t kLongestCount = 64;
+size_t AsksAhead(const AskQueue& queue,
+                 Tier tier,
+                 Time latest_start,
+                 Time now) {
   size_t ahead = 0;
   for (const auto& [other, waiting] : queue.tiers) {
     if (other < tier) {
       ahead += waiting.by_start.size();
     }
-    if (other != tier) {
-      continue;
-    }
-    size_t counted = 0;
-    for (const AskKey& key : waiting.by_start) {
-      if (key.first > latest_start) {
-        break;
-      }
-      if (++counted == kLongestCount) {
-        const bool is_last = waiting.by_start.rbegin()->first <= latest_start;
-        counted = is_last ? waiting.by_start.size()
-                          : std::max(counted, waiting.by_start.size() / 2);
-        break;
-      }
+  }
+  const auto own = queue.tiers.find(tier);
+  if (own == queue.tiers.end()) {
+    return ahead;
+  }
+  // Counting a place within a set is linear: the last one counts them all, and
+  // beyond this many half of them stands for the rest.
+  constexpr size_t kLongestCount = 64;
+  const std::set<AskKey>& asks = own->second.by_start;
+  if (asks.rbegin()->first <= latest_start) {
+    return ahead + asks.size();
+  }
+  size_t counted = 0;
+  for (auto it = asks.lower_bound(AskKey{now, {}});
+       it != asks.end() && it->first <= latest_start; ++it) {
+    if (++counted == kLongestCount) {
+      return ahead + std::max(counted, asks.size() / 2);
     }
-    ahead += counted;
   }
-  return ahead;
+  return ahead + counted;
 }
 
-const WaitingAsk* NextOfTier(const AskQueue& queue, Tier tier, Time now) {
+const WaitingAsk* NextOfTier(const AskQueue& queue,
+                             Tier tier,
+                             bool overdue_first,
+                             Time now) {
   const auto it = queue.tiers.find(tier);
   if (it == queue.tiers.end()) {
     return nullptr;
   }
   const TierQueue& waiting = it->second;
-  if (waiting.flows.size() == 1) {
-    return &queue.asks.at(waiting.by_start.begin()->second);
-  }
-  const double most = MeanUsage(queue, waiting, now) * kOverShare;
+  const bool is_single = waiting.flows.size() == 1;
+  const double most =
+      is_single ? 0 : MeanUsage(queue, waiting, now) * kOverShare;
   const AskKey* best = nullptr;
   bool best_is_over = true;
+  bool best_is_last = true;
   for (const auto& [flow, keys] : waiting.flows) {
-    const bool is_over = UsageAt(queue, flow, now) > most;
-    const AskKey& first = *keys.begin();
+    const bool is_over = !is_single && UsageAt(queue, flow, now) > most;
+    const AskKey& key = FirstOfFlow(keys, overdue_first, now);
+    const bool is_last = (key.first < now) != overdue_first;
+    const auto rank = std::tie(is_over, is_last, key);
     const bool is_better =
-        best == nullptr ||
-        (is_over != best_is_over ? best_is_over : first < *best);
+        best == nullptr || rank < std::tie(best_is_over, best_is_last, *best);
     if (is_better) {
-      best = &first;
+      best = &key;
       best_is_over = is_over;
+      best_is_last = is_last;
     }
   }
   return &queue.asks.at(best->second);
--- a/src/core/ask_queue.h
+++ b/src/core/ask_queue.h
@@ -21,7 +21,8 @@
   Tier tier;
   bool drop_when_late = true;
   Time arrived;       // At the entry.
-  Time latest_start;  // To meet the target.
+  Time due;           // The target.
+  Time latest_start;  // To meet the target, by the estimate.
   Time renewed;
   Time aged_at;  // From then on it may overtake, see TakeNext().
 };
@@ -37,7 +38,8 @@
 
 struct TierQueue {
   std::map<Flow, std::set<AskKey>> flows;
-  std::set<AskKey> by_start;  // All flows of the tier.
+  std::set<AskKey> by_start;   // All flows of the tier.
+  std::set<AskKey> droppable;  // Of them, those that are dropped when late.
 };
 
 // Slot time that a flow has used, decayed.
@@ -56,12 +58,16 @@
 std::optional<WaitingAsk> RemoveAsk(AskQueue& queue, const AttemptId& attempt);
 
 // Returns how many asks would be granted before one of `tier` that must start
-// by `latest_start`.
-size_t AsksAhead(const AskQueue& queue, Tier tier, Time latest_start);
+// by `latest_start`. Overdue asks of its own tier go after it.
+size_t AsksAhead(const AskQueue& queue, Tier tier, Time latest_start, Time now);
 
 // Returns the ask of `tier` to grant next: of the flows that have not used more
-// than their share, the one that must start first.
-const WaitingAsk* NextOfTier(const AskQueue& queue, Tier tier, Time now);
+// than their share, the one that must start first. Asks that can't meet their
+// target any more go last, or first with `overdue_first`.
+const WaitingAsk* NextOfTier(const AskQueue& queue,
+                             Tier tier,
+                             bool overdue_first,
+                             Time now);
 
 // Charges an expected slot time to the ask's flow.
 void ChargeFlow(AskQueue& queue,
--- a/src/core/cell.cc
+++ b/src/core/cell.cc
@@ -11,12 +11,23 @@
 namespace {
 
 constexpr size_t kMostReplicasPerCell = 64;
-// An ask is declined early only if it would be late even at a rate this much
-// faster than the one seen: an early decline is final, a wait is not.
-constexpr double kOptimism = 1.3;
+// An ask that would wait for more than this share of the time it has is
+// declined at once. A longer queue serves no more; it only makes each start the
+// last possible one, with no slack for prefixes or a slow first token.
+constexpr double kLongestWaitShare = 0.45;
 // An aged ask may overtake at most once in this many frees of a slot.
 constexpr double kFreesPerAgedGrant = 20;
 // A run that an entry no longer tells of is forgotten after this time.
+// Lower tiers wait for this long at the most after a decline: slots that stay
+// idle for callers that may not come back help nobody.
+constexpr Duration kLongestBlock = seconds(2);
+// Of what is served late, one is granted after this many that can still be on
+// time: going in the order of their targets, all would be late.
+constexpr uint32_t kOnTimePerOverdue = 16;
+// How many asks of a flow are looked at for a prefix, and how soon the first
+// must have to start for none to go before it.
+constexpr size_t kLookAhead = 16;
+constexpr Duration kLeastSlack = milliseconds(150);
 constexpr Duration kUnreportedRun = seconds(3);
 constexpr Duration kSweepInterval = milliseconds(500);
 // The limit starts at this share of the configured slots and is learnt.
@@ -63,7 +74,12 @@
 }
 
 Duration TimeToDrain(const CellState& cell, size_t asks, Time now) {
-  const double rate = FreeRate(cell.estimate);
+  // While the cell is not full, slots come free only as fast as requests come
+  // in; the slots and the mean hold time tell what it can do.
+  const double mean_hold = MeanHold(cell.estimate);
+  const double full_rate =
+      mean_hold <= 0 ? 0 : TotalSlots(cell, now) / mean_hold;
+  const double rate = std::max(FreeRate(cell.estimate), full_rate);
   const uint32_t free = TotalFree(cell, now);
   if (asks <= free || rate <= 0) {
     return Duration{0};
@@ -84,9 +100,9 @@
   return base + Duration{spread};
 }
 
-void NoteCapacityDecline(CellState& cell, Tier tier, Time latest_start) {
+void NoteCapacityDecline(CellState& cell, Tier tier, Time due, Time now) {
   Time& until = cell.no_lower_until[tier];
-  until = std::max(until, latest_start);
+  until = std::max(until, std::min(due, now + kLongestBlock));
 }
 
 CellReply Decline(CellState& cell,
@@ -95,7 +111,7 @@
                   Time now) {
   if (reason == DeclineReason::kTooLate ||
       reason == DeclineReason::kOverloaded) {
-    NoteCapacityDecline(cell, waiting.tier, waiting.latest_start);
+    NoteCapacityDecline(cell, waiting.tier, waiting.due, now);
   }
   return {waiting.entry,
           Declined{waiting.ask.attempt, reason, RetryAfter(cell, now)}};
@@ -108,6 +124,11 @@
              : HoldTime(cell.estimate, of_class.name);
 }
 
+Duration TargetOf(const RequestClass& of_class) {
+  return of_class.first_token_target.count() > 0 ? of_class.first_token_target
+                                                 : of_class.answer_target;
+}
+
 WaitingAsk MakeWaiting(const CellState& cell,
                        const InstanceName& entry,
                        const Ask& ask,
@@ -119,10 +140,11 @@
   waiting.tier = of_class.tier;
   waiting.drop_when_late = of_class.when_late == WhenLate::kDrop;
   waiting.arrived = now - ask.waited;
-  waiting.latest_start = now + ask.time_left;
-  if (waiting.drop_when_late) {
-    waiting.latest_start -= NeededAfterStart(cell, of_class);
-  }
+  // A request that is served late is still due at its target, not at the end
+  // of its longest wait: else it would always go after those that are dropped.
+  waiting.due = waiting.drop_when_late ? now + ask.time_left
+                                       : waiting.arrived + TargetOf(of_class);
+  waiting.latest_start = waiting.due - NeededAfterStart(cell, of_class);
   waiting.renewed = now;
   waiting.aged_at = waiting.arrived + of_class.longest_wait / 2;
   return waiting;
@@ -133,12 +155,11 @@
     return false;
   }
   const size_t ahead =
-      AsksAhead(cell.queue, waiting.tier, waiting.latest_start);
+      AsksAhead(cell.queue, waiting.tier, waiting.latest_start, now);
   const Duration wait = TimeToDrain(cell, ahead + 1, now);
-  const auto optimistic = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::micro>(
-          static_cast<double>(wait.count()) / kOptimism));
-  return now + optimistic > waiting.latest_start;
+  const auto longest = std::chrono::duration_cast<Duration>(
+      (waiting.latest_start - now) * kLongestWaitShare);
+  return wait > longest;
 }
 
 bool IsBlockedByHigher(const CellState& cell, Tier tier, Time now) {
@@ -201,9 +222,9 @@
   cell.grants[waiting.ask.attempt] = {waiting.entry, replica,
                                       waiting.ask.request_class, now};
   ++cell.replicas[replica].granted;
-  RememberPrefix(cell.prefixes, waiting.ask.prefix_hash, replica);
+  RememberPrefix(cell.replicas[replica], waiting.ask.prefix_hash);
   ChargeFlow(cell.queue, waiting,
-             HoldTime(cell.estimate, waiting.ask.request_class), now);
+             MeanHoldOf(cell.estimate, waiting.ask.request_class), now);
   return {waiting.entry, Granted{waiting.ask.attempt, cell.id,
                                  cell.replicas[replica].upstream.name}};
 }
@@ -212,9 +233,8 @@
                      const WaitingAsk& candidate,
                      CellReplies& replies,
                      Time now) {
-  const std::optional<uint32_t> replica =
-      ChooseReplica(cell.replicas, cell.prefixes, candidate.ask.prefix_hash,
-                    candidate.ask.excluded, now);
+  const std::optional<uint32_t> replica = ChooseReplica(
+      cell.replicas, candidate.ask.prefix_hash, candidate.ask.excluded, now);
   if (!replica) {
     return false;
   }
@@ -224,6 +244,41 @@
   return true;
 }
 
+bool HasFreeReplicaWithPrefix(const CellState& cell,
+                              uint64_t prefix,
+                              Time now) {
+  return std::any_of(
+      cell.replicas.begin(), cell.replicas.end(), [&](const Replica& replica) {
+        return TakesWork(replica, now) && FreeSlots(replica) > 0 &&
+               HasPrefix(replica, prefix);
+      });
+}
+
+// In a full cell slots come free one at a time, so that the first ask has no
+// choice of replica. Of the first few, one whose prefix the free replica keeps
+// goes before it, unless the first must start now.
+const WaitingAsk* NextWithPrefix(const CellState& cell,
+                                 const TierQueue& waiting,
+                                 const WaitingAsk* next,
+                                 Time now) {
+  if (next->ask.prefix_hash == 0 || next->latest_start - now < kLeastSlack ||
+      HasFreeReplicaWithPrefix(cell, next->ask.prefix_hash, now)) {
+    return next;
+  }
+  const Flow flow{next->ask.account, next->ask.request_class};
+  size_t looked_at = 0;
+  for (const AskKey& key : waiting.flows.at(flow)) {
+    const WaitingAsk& candidate = cell.queue.asks.at(key.second);
+    if (HasFreeReplicaWithPrefix(cell, candidate.ask.prefix_hash, now)) {
+      return &candidate;
+    }
+    if (++looked_at == kLookAhead) {
+      break;
+    }
+  }
+  return next;
+}
+
 bool GrantNext(CellState& cell, CellReplies& replies, Time now) {
   const uint32_t free = TotalFree(cell, now);
   if (free == 0 || cell.queue.tiers.empty()) {
@@ -242,8 +297,13 @@
     if (!may_take) {
       return false;
     }
-    const WaitingAsk* next = NextOfTier(cell.queue, tier, now);
+    uint32_t& on_time_grants = cell.on_time_grants[tier];
+    const bool overdue_first = on_time_grants >= kOnTimePerOverdue;
+    const WaitingAsk* next = NextWithPrefix(
+        cell, waiting, NextOfTier(cell.queue, tier, overdue_first, now), now);
+    const bool is_overdue = next->latest_start < now;
     if (GrantIfPossible(cell, *next, replies, now)) {
+      on_time_grants = is_overdue || overdue_first ? 0 : on_time_grants + 1;
       return true;
     }
     // Only asks that exclude the free replicas get here; a lower tier may use
@@ -292,13 +352,11 @@
 void GiveUpLate(CellState& cell, CellReplies& replies, Time now) {
   std::vector<AttemptId> late;
   for (const auto& [tier, waiting] : cell.queue.tiers) {
-    for (const AskKey& key : waiting.by_start) {
+    for (const AskKey& key : waiting.droppable) {
       if (key.first >= now) {
         break;
       }
-      if (cell.queue.asks.at(key.second).drop_when_late) {
-        late.push_back(key.second);
-      }
+      late.push_back(key.second);
     }
   }
   for (const AttemptId& attempt : late) {
@@ -410,7 +468,6 @@
   for (auto& [attempt, grant] : cell.grants) {
     grant.replica = moved.at(grant.replica);
   }
-  cell.prefixes = {};
 }
 
 CellReplies QueueOrDecline(CellState& cell, WaitingAsk waiting, Time now) {
--- a/src/core/cell.h
+++ b/src/core/cell.h
@@ -43,10 +43,11 @@
   AskQueue queue;
   std::unordered_map<AttemptId, Grant> grants;
   StartEstimate estimate;
-  PrefixMemory prefixes;
   // After an ask of a tier was declined for want of capacity, no lower tier is
-  // granted before the time at which that ask would have been too late.
+  // granted before that ask's target has passed, or 2 s have.
   std::map<Tier, Time> no_lower_until;
+  // Grants of a tier since one of its overdue asks had its turn.
+  std::map<Tier, uint32_t> on_time_grants;
   Time last_aged_grant;
   std::map<InstanceName, Time> last_report;  // Of what an entry runs here.
   Time next_sweep;
--- a/src/core/replica.cc
+++ b/src/core/replica.cc
@@ -19,7 +19,8 @@
 constexpr uint32_t kMostEjectionDoublings = 5;
 constexpr size_t kLeastReplicasPerEjected = 5;
 constexpr double kAffinityLoadBound = 1.25;
-constexpr size_t kMostPrefixes = 8192;
+// About as many as an engine keeps; more would be hints to what it dropped.
+constexpr size_t kRememberedPrefixes = 8;
 
 void LearnStep(Replica& replica, Duration between_tokens) {
   const auto micros = static_cast<double>(between_tokens.count());
@@ -40,7 +41,9 @@
     replica.limit = std::max(1.0, replica.limit * kLimitFall);
     replica.limit_changed = now;
   }
-  const bool is_full = Running(replica) + 1 >= replica.limit;
+  // The run that has just ended was counted: 12 of 12.25 slots is full.
+  const bool is_full =
+      Running(replica) + 1 >= static_cast<uint32_t>(replica.limit);
   if (replica.step_micros < goal * kRiseBelow && is_full) {
     const auto most = static_cast<double>(replica.upstream.slots);
     replica.limit = std::min(most, replica.limit + kLimitRise);
@@ -165,47 +168,47 @@
   }
 }
 
-void RememberPrefix(PrefixMemory& memory, uint64_t prefix, uint32_t replica) {
+void RememberPrefix(Replica& replica, uint64_t prefix) {
   if (prefix == 0) {
     return;
   }
-  const auto [it, is_new] =
-      memory.last_replica.insert_or_assign(prefix, replica);
-  if (!is_new) {
-    return;
-  }
-  if (memory.order.size() < kMostPrefixes) {
-    memory.order.push_back(prefix);
-    return;
+  std::erase(replica.prefixes, prefix);
+  replica.prefixes.push_back(prefix);
+  if (replica.prefixes.size() > kRememberedPrefixes) {
+    replica.prefixes.erase(replica.prefixes.begin());
   }
-  memory.last_replica.erase(memory.order[memory.next]);
-  memory.order[memory.next] = prefix;
-  memory.next = (memory.next + 1) % kMostPrefixes;
+}
+
+bool HasPrefix(const Replica& replica, uint64_t prefix) {
+  return std::find(replica.prefixes.begin(), replica.prefixes.end(), prefix) !=
+         replica.prefixes.end();
 }
 
 std::optional<uint32_t> ChooseReplica(std::span<const Replica> replicas,
-                                      const PrefixMemory& memory,
                                       uint64_t prefix_hash,
                                       std::span<const UpstreamName> excluded,
                                       Time now) {
-  const auto remembered = memory.last_replica.find(prefix_hash);
-  if (prefix_hash != 0 && remembered != memory.last_replica.end() &&
-      remembered->second < replicas.size()) {
-    const Replica& replica = replicas[remembered->second];
-    const double bound = MeanLoad(replicas, now) * kAffinityLoadBound +
-                         1 / std::max(1.0, replica.limit);
-    if (IsCandidate(replica, excluded, now) && LoadOf(replica) <= bound) {
-      return remembered->second;
-    }
-  }
+  const double mean = prefix_hash == 0 ? 0 : MeanLoad(replicas, now);
   std::optional<uint32_t> best;
   double best_load = 0;
+  bool best_has_prefix = false;
   for (uint32_t i = 0; i < replicas.size(); ++i) {
-    const double load = LoadOf(replicas[i]);
-    const bool is_better = !best || load < best_load;
-    if (is_better && IsCandidate(replicas[i], excluded, now)) {
+    const Replica& replica = replicas[i];
+    if (!IsCandidate(replica, excluded, now)) {
+      continue;
+    }
+    const double load = LoadOf(replica);
+    const double bound =
+        mean * kAffinityLoadBound + 1 / std::max(1.0, replica.limit);
+    const bool has_prefix =
+        prefix_hash != 0 && load <= bound && HasPrefix(replica, prefix_hash);
+    const bool is_better =
+        !best ||
+        (has_prefix != best_has_prefix ? has_prefix : load < best_load);
+    if (is_better) {
       best = i;
       best_load = load;
+      best_has_prefix = has_prefix;
     }
   }
   return best;
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <optional>
 #include <span>
-#include <unordered_map>
 #include <vector>
 
 #include "core/configuration.h"
@@ -25,8 +24,9 @@
   Time limit_changed;
   double step_micros = 0;  // Between tokens, averaged; 0: not known.
   uint32_t step_samples = 0;
-  uint32_t failures = 0;   // One after the other.
-  uint32_t ejections = 0;  // Since it was last healthy for long.
+  std::vector<uint64_t> prefixes;  // Granted of late, the newest last.
+  uint32_t failures = 0;           // One after the other.
+  uint32_t ejections = 0;          // Since it was last healthy for long.
   Time ejected_until;
   bool probing = false;  // Back from an ejection; takes one run at a time.
 };
@@ -50,20 +50,16 @@
 // median of the cell, but never more than a share of the cell.
 void EjectOutliers(std::span<Replica> replicas, Time now);
 
-// Remembers which replica last served a prompt prefix, for a bounded number.
-struct PrefixMemory {
-  std::unordered_map<uint64_t, uint32_t> last_replica;
-  std::vector<uint64_t> order;
-  size_t next = 0;
-};
+// Remembers that the replica was given a prompt prefix, which its engine will
+// keep for a while.
+void RememberPrefix(Replica& replica, uint64_t prefix);
 
-void RememberPrefix(PrefixMemory& memory, uint64_t prefix, uint32_t replica);
+bool HasPrefix(const Replica& replica, uint64_t prefix);
 
 // Returns the index of the replica to run on, or nothing where none has a free
-// slot. Prefers the replica that last served `prefix_hash` while its load is
-// within a bound of the cell's mean; otherwise the least loaded for its limit.
+// slot. Prefers the least loaded of those that have the prefix, while its load
+// is within a bound of the cell's mean; otherwise the least loaded of all.
 std::optional<uint32_t> ChooseReplica(std::span<const Replica> replicas,
-                                      const PrefixMemory& memory,
                                       uint64_t prefix_hash,
                                       std::span<const UpstreamName> excluded,
                                       Time now);
--- a/src/core/start_estimate.cc
+++ b/src/core/start_estimate.cc
@@ -44,6 +44,9 @@
   if (first_token.count() > 0) {
     AddSample(of_class.first_token, first_token);
   }
+  estimate.mean_hold += estimate.mean_hold == 0
+                            ? micros
+                            : kMeanWeight / 5 * (micros - estimate.mean_hold);
   if (estimate.last_free == Time{}) {
     estimate.last_free = now;
   }
@@ -61,6 +64,10 @@
              : estimate.frees / estimate.seconds;
 }
 
+double MeanHold(const StartEstimate& estimate) {
+  return estimate.mean_hold / 1e6;
+}
+
 Duration FirstTokenTime(const StartEstimate& estimate,
                         const ClassName& request_class) {
   const auto it = estimate.classes.find(request_class);
@@ -77,4 +84,12 @@
              : Duration{static_cast<int64_t>(it->second.hold.value)};
 }
 
+Duration MeanHoldOf(const StartEstimate& estimate,
+                    const ClassName& request_class) {
+  const auto it = estimate.classes.find(request_class);
+  return it == estimate.classes.end()
+             ? Duration{0}
+             : Duration{static_cast<int64_t>(it->second.mean_hold)};
+}
+
 }  // namespace pomeloring
--- a/src/core/start_estimate.h
+++ b/src/core/start_estimate.h
@@ -21,7 +21,7 @@
 void AddSample(RunningQuantile& estimate, Duration sample);
 
 struct ClassEstimate {
-  RunningQuantile hold{.quantile = 0.5};
+  RunningQuantile hold{.quantile = 0.9};
   RunningQuantile first_token{.quantile = 0.9};
   double mean_hold = 0;  // Microseconds.
 };
@@ -30,6 +30,7 @@
   std::map<ClassName, ClassEstimate> classes;
   // Slots that came free, decayed.
   double frees = 0;
+  double mean_hold = 0;  // Microseconds, over all classes as they come.
   double seconds = 0;
   Time last_free;
 };
@@ -41,6 +42,9 @@
             Duration first_token,
             Time now);
 
+// Returns the mean time that runs of late held a slot, in seconds, or 0.
+double MeanHold(const StartEstimate& estimate);
+
 // Returns slots a second, or 0 while too little is known.
 double FreeRate(const StartEstimate& estimate);
 
@@ -48,10 +52,15 @@
 Duration FirstTokenTime(const StartEstimate& estimate,
                         const ClassName& request_class);
 
-// Returns the median time from the grant to the end of the answer.
+// Returns the time from the grant to the end of the answer, at the 0.9
+// quantile.
 Duration HoldTime(const StartEstimate& estimate,
                   const ClassName& request_class);
 
+// Returns the mean time from the grant to the end of the answer.
+Duration MeanHoldOf(const StartEstimate& estimate,
+                    const ClassName& request_class);
+
 }  // namespace pomeloring
 
 #endif  // POMELORING_CORE_START_ESTIMATE_H_
--- a/test/correctness/not_run_means_never_started_test.cc
+++ b/test/correctness/not_run_means_never_started_test.cc
@@ -46,6 +46,21 @@
   CHECK(site.callers[caller].runs == 0);
 }
 
+TEST_CASE("what may have run is not called not-run when its retry is refused") {
+  SiteOptions options = Options();
+  options.run_time = milliseconds(300);
+  VirtualSite site(options);
+  site.RunFor(seconds(3));
+  site.upstreams[{"engine-1"}].lose_replies = 1;
+  const size_t caller = site.Submit(0, "question", "q1");
+  site.RunFor(milliseconds(20));  // It runs.
+  site.Mark("engine-1", MarkState::kLeaving);
+  site.RunFor(seconds(3));
+  CHECK(site.callers[caller].runs == 1);
+  REQUIRE(site.callers[caller].outcome);
+  CHECK(std::holds_alternative<OutcomeUnknown>(*site.callers[caller].outcome));
+}
+
 TEST_CASE("every not-run says when to come back") {
   VirtualSite site(Options());
   site.RunFor(seconds(3));
--- a/tools/run_mutations.py
+++ b/tools/run_mutations.py
@@ -1,6 +1,6 @@
 #!/usr/bin/env python3
 """Plants one fault after the other in a copy of the sources and shows that the
-promise fuzzer catches each. Exits with 1 where one is missed."""
+promise fuzzer, or else a test, catches each. Exits with 1 where one is missed."""
 
 import argparse
 import pathlib
@@ -77,12 +77,34 @@
         name = objects / (file.stem + ".o")
         names.append(str(name))
         makefile.append("%s: %s\n\tccache g++ $(FLAGS) -c $< -o $@" % (name, file))
+    tests = sorted((source / "test/correctness").glob("*.cc")) + [
+        source / "test/support/doctest_main.cc"]
+    test_names = []
+    for file in tests:
+        name = objects / (file.stem + ".o")
+        test_names.append(str(name))
+        makefile.append("%s: %s\n\tccache g++ $(FLAGS) -c $< -o $@" % (name, file))
+    core_names = [name for name in names if not name.endswith(
+        ("promise_run.o", "promise_fuzz.o"))]
+    makefile.append("tests: %s\n\tg++ $^ -lfmt -lboost_json -o %s/tests" %
+                    (" ".join(core_names + test_names), WORK))
     makefile.append("fuzz: %s\n\tg++ $^ -lfmt -lboost_json -o %s/fuzz" %
                     (" ".join(names), WORK))
     (WORK / "Makefile").write_text("\n".join(makefile) + "\n")
     subprocess.run(["make", "-s", "-j", str(jobs), "-C", str(WORK)], check=True)
 
 
+def run_tests(jobs):
+    """Returns the first test case that fails, for what the fuzzer misses."""
+    subprocess.run(["make", "-s", "-j", str(jobs), "-C", str(WORK), "tests"],
+                   check=True)
+    output = subprocess.run([WORK / "tests", "--minimal"], capture_output=True,
+                            text=True, check=False).stdout
+    cases = [line for line in output.splitlines()
+             if line.startswith("TEST CASE:")]
+    return ["test case '%s'" % cases[0][10:].strip()] if cases else []
+
+
 def fuzz(runs):
     result = subprocess.run(
         [WORK / "fuzz", "--seed", "1", "--runs", str(runs), "--steps", "150",
@@ -110,7 +132,7 @@
             sys.exit("mutation '%s' does not fit %s any more" % (name, file))
         path.write_text(original.replace(old, new, 1))
         compile_fuzzer(options.jobs)
-        caught = fuzz(options.runs)
+        caught = fuzz(options.runs) or run_tests(options.jobs)
         path.write_text(original)
         missed += 0 if caught else 1
         print("%-45s %s" % (name, caught[0][:110] if caught else "MISSED"),
