Take the removed ask's id by value; add benches of scale, decisions and overhead

Cause, found by the address sanitizer in QueueOrDecline and GrantIfPossible: RemoveAsk() was given a reference into the ask that it erases, and used it after that. Every grant from the queue read freed memory. The id is now passed by value. (The plain build passed all tests by luck.)

The time line prints microseconds.

--- /dev/null
+++ b/bench/decision_bench.cc
@@ -0,0 +1,90 @@
+// The cost of one decision of a cell's scheduler, and its slopes with the
+// replicas and with the asks that wait.
+
+#include <benchmark/benchmark.h>
+
+#include <algorithm>
+#include <chrono>
+
+#include "pomeloring/core.h"
+#include "support/virtual_site.h"
+
+namespace pomeloring {
+namespace {
+
+struct Loaded {
+  Loaded(size_t replicas, size_t waiting) {
+    config = std::get<Configuration>(
+        ParseConfiguration(test::SmallConfig(replicas, 1, 16)));
+    cell.id.value = "model//0";
+    cell.service.value = "model";
+    ConfigureCell(cell, config, config.services.at({"model"}).upstreams, {});
+    const size_t slots = replicas * 8;  // Half are open at first.
+    for (size_t i = 0; i < slots + waiting; ++i) {
+      AskOne();
+    }
+  }
+
+  CellReplies AskOne() {
+    Ask ask;
+    ask.attempt = {{Incarnation{1}, next++}, 1};
+    ask.cell = cell.id;
+    ask.request_class.value = next % 3 == 0 ? "history" : "tag";
+    ask.account.value = next % 2 == 0 ? "one" : "two";
+    ask.time_left = seconds(40);
+    ask.prefix_hash = next % 50;
+    now += Duration{50};
+    return HandleAsk(cell, {"entry"}, ask, now);
+  }
+
+  CellReplies EndOne() {
+    const auto grant = cell.grants.begin();
+    SlotReport report;
+    report.attempt = grant->first;
+    report.cell = cell.id;
+    report.upstream = cell.replicas[grant->second.replica].upstream.name;
+    report.total = seconds(1);
+    report.first_token = milliseconds(50);
+    report.tokens = 50;
+    now += Duration{50};
+    return HandleSlotReport(cell, {"entry"}, report, now);
+  }
+
+  Configuration config;
+  CellState cell;
+  uint64_t next = 1;
+  Time now{seconds(1000)};
+};
+
+// One ask and one end of a run with the grant that follows: the queue keeps its
+// length.
+void BM_AskAndGrant(benchmark::State& state) {
+  Loaded loaded(static_cast<size_t>(state.range(0)),
+                static_cast<size_t>(state.range(1)));
+  std::vector<double> micros;
+  for (auto _ : state) {
+    const auto begin = std::chrono::steady_clock::now();
+    benchmark::DoNotOptimize(loaded.AskOne());
+    const auto middle = std::chrono::steady_clock::now();
+    benchmark::DoNotOptimize(loaded.EndOne());
+    const auto end = std::chrono::steady_clock::now();
+    using Micros = std::chrono::duration<double, std::micro>;
+    micros.push_back(Micros(middle - begin).count());
+    micros.push_back(Micros(end - middle).count());
+  }
+  std::sort(micros.begin(), micros.end());
+  state.counters["p50_us"] = micros[micros.size() / 2];
+  state.counters["p99_us"] = micros[micros.size() * 99 / 100];
+}
+BENCHMARK(BM_AskAndGrant)
+    ->Args({16, 1000})
+    ->Args({32, 1000})
+    ->Args({64, 1000})
+    ->Args({64, 10})
+    ->Args({64, 4000})
+    ->Iterations(20000);
+
+}  // namespace
+}  // namespace pomeloring
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/bench/overhead_bench.cc
@@ -0,0 +1,110 @@
+// The time that one instance adds to a request: direct calls of a stand-in and
+// calls through an instance in turn, over kept connections on loopback.
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <thread>
+
+#include "link/address.h"
+#include "support/running_site.h"
+
+namespace pomeloring {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::chrono::seconds kRun{2};
+
+struct Target {
+  std::string address;
+  std::string path;
+  std::string body;
+};
+
+// One connection that asks one after the other.
+std::vector<double> AskForAWhile(const Target& target) {
+  asio::io_context context;
+  beast::tcp_stream stream(context);
+  stream.socket().connect(*ParseTcpAddress(target.address));
+  stream.socket().set_option(asio::ip::tcp::no_delay(true));
+  beast::flat_buffer buffer;
+  std::vector<double> millis;
+  const auto end = std::chrono::steady_clock::now() + kRun;
+  while (std::chrono::steady_clock::now() < end) {
+    http::request<http::string_body> request{http::verb::post, target.path, 11};
+    request.set(http::field::host, target.address);
+    request.set(http::field::authorization, "Bearer key");
+    request.set("Pomeloring-Class",
+                target.path.starts_with("/v1") ? "question" : "stamp");
+    request.body() = target.body;
+    request.prepare_payload();
+    const auto begin = std::chrono::steady_clock::now();
+    http::write(stream, request);
+    http::response<http::string_body> response;
+    http::read(stream, buffer, response);
+    millis.push_back(std::chrono::duration<double, std::milli>(
+                         std::chrono::steady_clock::now() - begin)
+                         .count());
+    if (response.result() != http::status::ok) {
+      fmt::print("status {}\n", response.result_int());
+      break;
+    }
+  }
+  return millis;
+}
+
+struct Times {
+  double p50 = 0;
+  double p99 = 0;
+  double rate = 0;
+};
+
+Times Measure(const Target& target, size_t connections) {
+  std::vector<std::vector<double>> of_thread(connections);
+  std::vector<std::thread> threads;
+  for (size_t i = 0; i < connections; ++i) {
+    threads.emplace_back([&, i] { of_thread[i] = AskForAWhile(target); });
+  }
+  std::vector<double> all;
+  for (size_t i = 0; i < connections; ++i) {
+    threads[i].join();
+    all.insert(all.end(), of_thread[i].begin(), of_thread[i].end());
+  }
+  std::sort(all.begin(), all.end());
+  return {all[all.size() / 2], all[all.size() * 99 / 100],
+          static_cast<double>(all.size()) / kRun.count()};
+}
+
+void Compare(const char* name, const Target& direct, const Target& through) {
+  for (const size_t connections : {1, 16, 128}) {
+    const Times a = Measure(direct, connections);
+    const Times b = Measure(through, connections);
+    fmt::print("{:<8} {:>3} connections: direct p50 {:.3f} p99 {:.3f} ms "
+               "{:>6.0f}/s; through p50 {:.3f} p99 {:.3f} ms {:>6.0f}/s; added "
+               "p50 {:.3f} p99 {:.3f} ms\n",
+               name, connections, a.p50, a.p99, a.rate, b.p50, b.p99, b.rate,
+               b.p50 - a.p50, b.p99 - a.p99);
+  }
+}
+
+}  // namespace
+}  // namespace pomeloring
+
+int main() {
+  using namespace pomeloring;
+  test::RunningSite site({.instances = 1, .engines = 8, .ledgers = 8});
+  site.PublishAndWait();
+  Compare("whole", {site.LedgerAddress(0), "/ledger/stamps", "bottle"},
+          {site.CallerAddress(0), "/ledger/stamps", "bottle"});
+  const std::string body =
+      R"({"model":"cask-7b","stream":true,"max_tokens":8,)"
+      R"("messages":[{"role":"user","content":"q"}]})";
+  Compare("streamed", {site.EngineAddress(0), "/v1/chat/completions", body},
+          {site.CallerAddress(0), "/v1/chat/completions", body});
+}
--- /dev/null
+++ b/bench/scale_bench.cc
@@ -0,0 +1,264 @@
+// Slopes for docs/CAPACITY.md: what control costs one instance as the fleet, the
+// replicas and the configuration grow. All in virtual time but for the
+// processor, which is measured.
+
+#include <fmt/format.h>
+#include <sys/resource.h>
+
+#include <chrono>
+
+#include "link/codec.h"
+#include "link/generated/pomeloring.pb.h"
+#include "pomeloring/core.h"
+#include "support/virtual_site.h"
+
+namespace pomeloring {
+namespace {
+
+double ProcessorSeconds() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return static_cast<double>(usage.ru_utime.tv_sec) +
+         static_cast<double>(usage.ru_utime.tv_usec) / 1e6;
+}
+
+size_t ResidentBytes() {
+  long pages = 0;
+  FILE* file = std::fopen("/proc/self/statm", "r");
+  if (file != nullptr) {
+    if (std::fscanf(file, "%*d %ld", &pages) != 1) {
+      pages = 0;
+    }
+    std::fclose(file);
+  }
+  return static_cast<size_t>(pages) * 4096;
+}
+
+// Membership alone: each member's datagrams go straight to the others.
+class Fleet {
+ public:
+  explicit Fleet(size_t count) : m_states(count) {
+    for (size_t i = 0; i < count; ++i) {
+      MembershipState& state = m_states[i];
+      state.self.name.value = fmt::format("entry-{:03}", i);
+      state.self.incarnation.value = 1700000000000000 + i;
+      state.self.probe_address = fmt::format("10.20.{}.{}:7303", i / 250,
+                                             i % 250);
+      state.self.link_address = state.self.probe_address;
+      state.self.caller_address = state.self.probe_address;
+      state.self.failure_domain.value = fmt::format("domain-{}", i % 11);
+      state.self.region.value = fmt::format("region-{}", i % 3);
+      state.random = i + 1;
+      state.seeds = {"10.20.0.0:7303", "10.20.0.1:7303"};
+      m_index[state.self.probe_address] = i;
+    }
+  }
+
+  void Run(Duration length) {
+    const Time end = m_now + length;
+    while (m_now < end) {
+      m_now += milliseconds(20);
+      for (size_t i = 0; i < m_states.size(); ++i) {
+        Send(i, TickMembership(m_states[i], m_now));
+      }
+    }
+  }
+
+  void ResetCounts() { m_bytes = m_datagrams = 0; }
+  double BytesPerMember() const {
+    return static_cast<double>(m_bytes) /
+           static_cast<double>(m_states.size());
+  }
+  double DatagramsPerMember() const {
+    return static_cast<double>(m_datagrams) /
+           static_cast<double>(m_states.size());
+  }
+  bool AllKnowAll() const {
+    for (const MembershipState& state : m_states) {
+      if (LiveMembers(state).size() != m_states.size()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+ private:
+  void Send(size_t from, MembershipOutput output) {
+    for (Datagram& datagram : output.datagrams) {
+      const std::string bytes = EncodeDatagram(datagram.message);
+      // Sent by one and received by another.
+      m_bytes += 2 * (bytes.size() + 28);
+      ++m_datagrams;
+      const auto to = m_index.find(datagram.address);
+      if (to != m_index.end()) {
+        Send(to->second,
+             HandleMembershipMessage(m_states[to->second],
+                                     m_states[from].self.probe_address,
+                                     *DecodeDatagram(bytes), m_now));
+      }
+    }
+  }
+
+  std::vector<MembershipState> m_states;
+  std::map<std::string, size_t> m_index;
+  Time m_now{seconds(1000)};
+  size_t m_bytes = 0;
+  size_t m_datagrams = 0;
+};
+
+void MeasureMembership() {
+  fmt::print("membership, at rest, an instance:\n");
+  for (size_t count : {9, 40, 160, 320}) {
+    Fleet fleet(count);
+    int joined = 0;
+    while (!fleet.AllKnowAll() && joined < 120) {
+      fleet.Run(seconds(1));
+      ++joined;
+    }
+    fleet.Run(seconds(30));
+    fleet.ResetCounts();
+    const double before = ProcessorSeconds();
+    constexpr int kSeconds = 60;
+    fleet.Run(seconds(kSeconds));
+    const double used = ProcessorSeconds() - before;
+    fmt::print(
+        "  {:>3} members: all known after {:>3} s, {:>6.0f} bytes/s, {:>4.1f} "
+        "datagrams/s, {:.4f} % of a core\n",
+        count, joined, fleet.BytesPerMember() / kSeconds,
+        fleet.DatagramsPerMember() / kSeconds,
+        100 * used / kSeconds / static_cast<double>(count));
+  }
+}
+
+std::string LargeConfig(size_t accounts, size_t replicas) {
+  std::string text = R"({"services":[)";
+  for (size_t service = 0; service < 5; ++service) {
+    text += fmt::format(
+        R"({}{{"name":"model-{}","kind":"model","models":["m{}"],"upstreams":[)",
+        service == 0 ? "" : ",", service, service);
+    for (size_t i = 0; i < replicas / 5; ++i) {
+      text += fmt::format(
+          R"({}{{"name":"engine-{}-{}","address":"10.{}.{}.{}:9000",)"
+          R"("failure_domain":"domain-{}","region":"region-{}","slots":32}})",
+          i == 0 ? "" : ",", service, i, service, i / 250, i % 250, i % 11,
+          i % 3);
+    }
+    text += "]}";
+  }
+  text += R"(],"classes":[)";
+  for (size_t tier = 1; tier <= 7; ++tier) {
+    text += fmt::format(
+        R"({}{{"name":"class-{}","service":"model-{}","tier":{},)"
+        R"("first_token_ms":1100,"between_tokens_ms":44}})",
+        tier == 1 ? "" : ",", tier, tier % 5, tier);
+  }
+  text += R"(],"accounts":[)";
+  for (size_t i = 0; i < accounts; ++i) {
+    text += fmt::format(R"({}{{"name":"account-{}","key_sha256":"{:064x}"}})",
+                        i == 0 ? "" : ",", i, i);
+  }
+  return text + "]}";
+}
+
+void MeasureConfiguration() {
+  fmt::print("one change of one account, read and put in force:\n");
+  for (const auto& [accounts, replicas] :
+       {std::pair{1100, 440}, {5500, 2200}, {11000, 4400}}) {
+    const size_t resident = ResidentBytes();
+    const std::string text = LargeConfig(static_cast<size_t>(accounts),
+                                         static_cast<size_t>(replicas));
+    Member self;
+    self.name.value = "entry-1";
+    self.region.value = "region-1";
+    self.incarnation.value = 1;
+    auto built = InstanceBuilder().WithSelf(self).Build();
+    Instance& instance = *std::get<std::unique_ptr<Instance>>(built);
+    const auto record = [&](uint64_t offset, PublishRecord publish) {
+      return LogRecord{LogOffset{offset}, EncodeConfigRecord(publish)};
+    };
+    instance.HandleLogRead(
+        LogStream::kConfiguration,
+        {record(1, PublishRecord{"p1", Revision{0}, text, ""})}, LogOffset{1},
+        true, Time{seconds(1)});
+    constexpr uint64_t kChanges = 20;
+    size_t bytes = 0;
+    const double before = ProcessorSeconds();
+    for (uint64_t i = 2; i < 2 + kChanges; ++i) {
+      const std::string change = fmt::format(
+          R"({{"accounts":[{{"name":"account-7","key_sha256":"{:064x}"}}]}})",
+          i);
+      const LogRecord next =
+          record(i, PublishRecord{fmt::format("p{}", i), Revision{i - 1}, "",
+                                  change});
+      bytes += next.payload.size();
+      instance.HandleLogRead(LogStream::kConfiguration, {next}, LogOffset{1},
+                             true, Time{seconds(static_cast<int64_t>(i))});
+    }
+    const double each = (ProcessorSeconds() - before) / kChanges;
+    fmt::print(
+        "  {:>5} accounts, {:>4} replicas: text {:>7} bytes, change {:>4} "
+        "bytes, {:.1f} ms, at 10,000 a day {:.2f} % of a core, resident +{:.0f}"
+        " MB\n",
+        accounts, replicas, text.size(), bytes / kChanges, each * 1000,
+        each * 10000 / 86400 * 100,
+        static_cast<double>(ResidentBytes() - resident) / 1e6);
+  }
+}
+
+void MeasureMessages() {
+  const auto size_of = [](const SlotMessage& message) {
+    wire::SlotMessage encoded;
+    Encode(message, encoded);
+    return encoded.ByteSizeLong();
+  };
+  const AttemptId attempt{{Incarnation{1700000000000000}, 123456}, 1};
+  Ask ask{attempt, {"model-1/region-1/12"}, {"class-3"}, {"account-1234"},
+          seconds(1), milliseconds(5), 0x123456789abcdefULL, {}};
+  Granted granted{attempt, {"model-1/region-1/12"}, {"engine-1-234"}};
+  SlotReport report{attempt, {"model-1/region-1/12"}, {"engine-1-234"},
+                    SlotOutcome::kAnswered, milliseconds(300), seconds(10),
+                    240};
+  RunningSlots running{{"entry-123"}, {"model-1/region-1/12"}, {}};
+  for (int i = 0; i < 3; ++i) {
+    running.counts.push_back({{fmt::format("engine-1-{}", i)}, 1});
+  }
+  fmt::print("messages, bytes: ask {}, granted {}, report {}, running slots of "
+             "three replicas {}\n",
+             size_of(ask), size_of(granted), size_of(report),
+             size_of(running));
+}
+
+// One instance that schedules cells and takes requests, on a few others.
+void MeasureRequests() {
+  fmt::print("requests through one of three instances, processor of all:\n");
+  for (const int count : {2000, 4000, 8000}) {
+    test::SiteOptions options;
+    options.config_text = test::SmallConfig(64, 1, 32);
+    options.tick = milliseconds(10);
+    test::VirtualSite site(options);
+    site.RunFor(seconds(3));
+    const double idle_before = ProcessorSeconds();
+    site.RunFor(seconds(20));
+    const double idle = ProcessorSeconds() - idle_before;
+    const double before = ProcessorSeconds();
+    for (int i = 0; i < count; ++i) {
+      site.Submit(0, "question", std::to_string(i % 50) + "|" +
+                                     std::to_string(i));
+      site.RunFor(Duration{20'000'000 / count});
+    }
+    const double used = ProcessorSeconds() - before - idle;
+    fmt::print("  {:>5} requests: {:.1f} us each; idle {:.3f} % of a core an "
+               "instance\n",
+               count, used / count * 1e6, idle / 20 / 3 * 100);
+  }
+}
+
+}  // namespace
+}  // namespace pomeloring
+
+int main() {
+  pomeloring::MeasureMembership();
+  pomeloring::MeasureConfiguration();
+  pomeloring::MeasureMessages();
+  pomeloring::MeasureRequests();
+}
--- a/src/core/ask_queue.cc
+++ b/src/core/ask_queue.cc
@@ -64,7 +64,7 @@
   queue.asks[ask.ask.attempt] = std::move(ask);
 }
 
-std::optional<WaitingAsk> RemoveAsk(AskQueue& queue, const AttemptId& attempt) {
+std::optional<WaitingAsk> RemoveAsk(AskQueue& queue, AttemptId attempt) {
   const auto it = queue.asks.find(attempt);
   if (it == queue.asks.end()) {
     return std::nullopt;
--- a/src/core/ask_queue.h
+++ b/src/core/ask_queue.h
@@ -55,7 +55,8 @@
 };
 
 void AddAsk(AskQueue& queue, WaitingAsk ask);
-std::optional<WaitingAsk> RemoveAsk(AskQueue& queue, const AttemptId& attempt);
+// By value: the attempt often stands in the ask that is removed.
+std::optional<WaitingAsk> RemoveAsk(AskQueue& queue, AttemptId attempt);
 
 // Returns how many asks would be granted before one of `tier` that must start
 // by `latest_start`. Overdue asks of its own tier go after it.
--- a/src/ctl/timeline_report.cc
+++ b/src/ctl/timeline_report.cc
@@ -72,10 +72,10 @@
 std::string WriteText(std::span<const ReportedEvent> events) {
   std::string out;
   for (const ReportedEvent& event : events) {
-    const std::chrono::sys_time<std::chrono::microseconds> time{
-        std::chrono::microseconds{event.micros}};
-    out +=
-        fmt::format("{:%T} {:<12} {:<22} {:<24} {} {}\n", time, event.instance,
+    const std::chrono::sys_time<std::chrono::seconds> time{
+        std::chrono::seconds{event.micros / 1'000'000}};
+    out += fmt::format("{:%T}.{:06} {:<12} {:<22} {:<24} {} {}\n", time,
+                       event.micros % 1'000'000, event.instance,
                     event.kind, event.request.empty() ? "-" : event.request,
                     event.subject, event.detail);
   }
