--- /dev/null
+++ b/src/core/instance_time.cc
@@ -0,0 +1,168 @@
+#include "core/instance.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace pomeloring {
+namespace {
+
+constexpr Duration kComeBackSoon = seconds(1);
+// A due snapshot is appended after a random part of this time, so that not
+// every instance appends one.
+constexpr Duration kSnapshotSpread = seconds(10);
+
+}  // namespace
+
+Actions Instance::HandleTick(Time now) {
+  Actions out;
+  MembershipOutput output;
+  bool superseded = false;
+  {
+    const std::lock_guard lock(m_membership_mutex);
+    output = TickMembership(m_membership, now);
+    superseded = m_membership.superseded;
+  }
+  if (superseded) {
+    out.push_back(StopSuperseded{});
+  }
+  TakeMembershipOutput(std::move(output), now, out);
+  TickCells(now, out);
+  TickEntries(now, out);
+  TickClaims(now, out);
+  TickSnapshots(now, out);
+  WatchSchedulers(now, out);
+  ReportRunning(now, out);
+  return DeliverLocally(std::move(out), now);
+}
+
+void Instance::TickCells(Time now, Actions& out) {
+  const auto view = View();
+  std::vector<std::shared_ptr<CellSlot>> cells;
+  {
+    const std::lock_guard lock(m_cells_mutex);
+    for (const auto& [id, slot] : m_cells) {
+      cells.push_back(slot);
+    }
+  }
+  for (const auto& slot : cells) {
+    CellReplies replies;
+    {
+      const std::lock_guard lock(slot->mutex);
+      replies = TickCell(slot->cell, now);
+    }
+    SendReplies(std::move(replies), *view, now, out);
+  }
+}
+
+void Instance::TickEntries(Time now, Actions& out) {
+  const auto view = View();
+  for (EntrySlot& slot : m_entries) {
+    EntryOutput output;
+    {
+      const std::lock_guard lock(slot.mutex);
+      output = TickEntry(slot.shard, *view, now);
+    }
+    TakeEntryOutput(std::move(output), now, out);
+  }
+}
+
+void Instance::TickClaims(Time now, Actions& out) {
+  std::vector<CallerRequest> expired;
+  {
+    const std::lock_guard lock(m_claims_mutex);
+    for (const RequestId& id : ExpireClaims(m_claims, now)) {
+      const auto it = m_claiming.find(id);
+      if (it != m_claiming.end()) {
+        expired.push_back(it->second);
+        m_claiming.erase(it);
+      }
+    }
+  }
+  // Not run: a claim that comes to light later starts nothing by itself.
+  for (const CallerRequest& request : expired) {
+    FinishUnstarted(request,
+                    NotRun{DeclineReason::kLogUnavailable, kComeBackSoon}, now,
+                    out);
+  }
+  AppendClaims(out);
+}
+
+void Instance::TickSnapshots(Time now, Actions& out) {
+  const std::lock_guard lock(m_config_mutex);
+  const auto snapshot = SnapshotDue(m_history, m_settings.log_retention, now);
+  if (!snapshot) {
+    m_snapshot_at = Time{};
+    return;
+  }
+  if (m_snapshot_at == Time{}) {
+    const auto spread = static_cast<uint64_t>(kSnapshotSpread.count());
+    m_snapshot_at =
+        now + Duration{static_cast<int64_t>(NextRandom(m_random) % spread)};
+    return;
+  }
+  if (now >= m_snapshot_at) {
+    m_snapshot_at = now + kSnapshotSpread;
+    out.push_back(
+        AppendRecord{LogStream::kConfiguration, EncodeConfigRecord(*snapshot)});
+  }
+}
+
+void Instance::ReportRunning(Time now, Actions& out) {
+  if (now < m_next_running_report) {
+    return;
+  }
+  m_next_running_report = now + m_settings.running_report_interval;
+  std::map<CellId, std::map<UpstreamName, uint32_t>> counts;
+  for (EntrySlot& slot : m_entries) {
+    const std::lock_guard lock(slot.mutex);
+    CountRunning(slot.shard, counts);
+  }
+  {
+    // A cell that emptied is told of once more, with no counts.
+    const std::lock_guard lock(m_limits_mutex);
+    for (const auto& [id, reported] : m_reported_running) {
+      counts[id];
+    }
+    m_reported_running.clear();
+    for (const auto& [id, upstreams] : counts) {
+      if (!upstreams.empty()) {
+        m_reported_running[id] = true;
+      }
+    }
+  }
+  const auto view = View();
+  for (const auto& [id, upstreams] : counts) {
+    const auto cell = view->cells.find(id);
+    if (cell == view->cells.end()) {
+      continue;
+    }
+    RunningSlots running{m_settings.self.name, id, {}};
+    for (const auto& [upstream, count] : upstreams) {
+      running.counts.push_back({upstream, count});
+    }
+    for (const InstanceName& scheduler : cell->second.schedulers) {
+      const auto member = view->live.find(scheduler);
+      const std::string address =
+          member == view->live.end() ? "" : member->second.link_address;
+      out.push_back(SendSlotMessage{scheduler, address, running});
+    }
+  }
+}
+
+Actions Instance::HandleStop(Time now) {
+  Actions out;
+  m_stopping = true;
+  m_timeline.Record(EventKind::kStopping, {}, m_settings.self.name.value, "",
+                    now);
+  MembershipOutput output;
+  {
+    const std::lock_guard lock(m_membership_mutex);
+    output = AnnounceLeaving(m_membership, now);
+  }
+  TakeMembershipOutput(std::move(output), now, out);
+  RebuildView(now, out);
+  return DeliverLocally(std::move(out), now);
+}
+
+}  // namespace pomeloring
--- a/tools/run_mutations.py
+++ b/tools/run_mutations.py
@@ -36,7 +36,7 @@
      "if (incarnation == m_settings.self.incarnation) {", "if (true) {"),
     ("lets the last claim of a key win", "key_claim.cc",
      "if (is_first) {", "it->second = owner;\n      if (is_first) {"),
-    ("starts a claim that was given up", "instance.cc",
+    ("starts a claim that was given up", "instance_time.cc",
      "expired.push_back(it->second);\n        m_claiming.erase(it);",
      "expired.push_back(it->second);"),
     ("accepts a publish on any base", "config_history.cc",
