Remove what nothing uses; record queued and retried asks; load report

Nothing sent orders to engines: the actions, stream and events for them are gone until they are built whole. The time line now records queued asks and retries, which had names but were never written.

--- a/src/core/action.h
+++ b/src/core/action.h
@@ -14,7 +14,7 @@
 
 namespace pomeloring {
 
-enum class LogStream { kConfiguration, kClaims, kOrders };
+enum class LogStream { kConfiguration, kClaims };
 
 struct SendSlotMessage {
   InstanceName to;
@@ -63,14 +63,6 @@
   std::string link_address;
 };
 
-// Sends an order to an engine. The daemon says how it ended.
-struct SendOrder {
-  LogOffset order;
-  LogOffset fencing;
-  Upstream upstream;
-  std::string body;
-};
-
 // Another process with a later incarnation has this instance's name.
 struct StopSuperseded {};
 
@@ -82,7 +74,6 @@
                             ForwardRequest,
                             AppendRecord,
                             FetchConfiguration,
-                            SendOrder,
                             StopSuperseded>;
 using Actions = std::vector<Action>;
 
--- a/src/core/instance_peers.cc
+++ b/src/core/instance_peers.cc
@@ -47,6 +47,10 @@
       m_timeline.Record(EventKind::kGranted, granted->attempt.request,
                         granted->upstream.value, granted->cell.value, now);
     }
+    if (const auto* queued = std::get_if<Queued>(&reply.message)) {
+      m_timeline.Record(EventKind::kQueued, queued->attempt.request,
+                        reply.to.value, queued->cell.value, now);
+    }
     if (const auto* declined = std::get_if<Declined>(&reply.message)) {
       m_timeline.Record(EventKind::kDeclined, declined->attempt.request,
                         reply.to.value, ToString(declined->reason), now);
@@ -195,8 +199,10 @@
     return;
   }
   if (const auto* ask = std::get_if<Ask>(&send->message)) {
-    m_timeline.Record(EventKind::kAsked, ask->attempt.request, send->to.value,
-                      ask->cell.value, now);
+    const bool is_retry = ask->attempt.number > 1;
+    m_timeline.Record(is_retry ? EventKind::kRetried : EventKind::kAsked,
+                      ask->attempt.request, send->to.value, ask->cell.value,
+                      now);
   }
   if (const auto* withdraw = std::get_if<Withdraw>(&send->message)) {
     m_timeline.Record(EventKind::kWithdrawn, withdraw->attempt.request,
--- a/src/core/timeline.cc
+++ b/src/core/timeline.cc
@@ -15,17 +15,26 @@
 
 std::string_view ToString(EventKind kind) {
   static constexpr std::string_view kNames[] = {
-      "request-accepted", "key-decided",
-      "forwarded",        "asked",
-      "ask-received",     "queued",
-      "granted",          "declined",
-      "withdrawn",        "upstream-started",
-      "first-token",      "upstream-ended",
-      "retried",          "request-finished",
-      "member-changed",   "configuration-in-force",
-      "log-unavailable",  "order-claimed",
-      "order-sent",       "stopping",
+      "request-accepted",
+      "key-decided",
+      "forwarded",
+      "asked",
+      "queued",
+      "granted",
+      "declined",
+      "withdrawn",
+      "upstream-started",
+      "first-token",
+      "upstream-ended",
+      "retried",
+      "request-finished",
+      "member-changed",
+      "configuration-in-force",
+      "log-unavailable",
+      "stopping",
   };
+  static_assert(std::size(kNames) ==
+                static_cast<size_t>(EventKind::kStopping) + 1);
   return kNames[static_cast<size_t>(kind)];
 }
 
--- a/src/core/timeline.h
+++ b/src/core/timeline.h
@@ -30,7 +30,6 @@
   kKeyDecided,
   kForwarded,
   kAsked,
-  kAskReceived,
   kQueued,
   kGranted,
   kDeclined,
@@ -43,8 +42,6 @@
   kMemberChanged,
   kConfigurationInForce,
   kLogUnavailable,
-  kOrderClaimed,
-  kOrderSent,
   kStopping,
 };
 
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -222,7 +222,6 @@
   }
   void Do(AppendRecord& append) { Spawn(Append(std::move(append))); }
   void Do(FetchConfiguration& fetch) { m_link->Fetch(fetch.link_address); }
-  void Do(SendOrder&) {}
   void Do(StopSuperseded&) {
     m_log.Write(LogLevel::kError, "superseded",
                 {{"advice", "another process has this name; rename one"}});
--- a/src/platform/http_platform.cc
+++ b/src/platform/http_platform.cc
@@ -167,8 +167,6 @@
       return "configuration";
     case LogStream::kClaims:
       return "claims";
-    case LogStream::kOrders:
-      return "orders";
   }
   return "configuration";
 }
--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -1,7 +1,7 @@
 // A stand-in for a model engine: continuous batching with a step time that
 // grows with the batch, priorities, streams that can be resumed and cancelled,
-// and orders with fencing numbers. POST /control makes it stall, cut, double or
-// refuse.
+// a lagging load report and orders with fencing numbers. POST /control makes it
+// stall, cut, double or refuse.
 
 #include <fmt/format.h>
 
@@ -10,6 +10,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <deque>
 #include <list>
 #include <set>
 
@@ -55,6 +56,14 @@
   int64_t cut_after = -1;     // Tokens of a stream, then the connection closes.
   int64_t double_token = -1;  // This token is sent twice.
   double slow_factor = 1;
+  // What GET /load tells, which lags behind.
+  struct LoadSample {
+    std::chrono::steady_clock::time_point at;
+    size_t running = 0;
+    size_t waiting = 0;
+  };
+  std::chrono::milliseconds report_lag{500};
+  std::deque<LoadSample> samples;
   // Counts.
   int64_t started = 0;
   int64_t tokens = 0;
@@ -73,9 +82,27 @@
   }
 }
 
+void SampleLoad(Engine& engine) {
+  const auto now = std::chrono::steady_clock::now();
+  engine.samples.push_back({now, engine.running.size(), engine.waiting.size()});
+  // The newest sample that is old enough stays in front.
+  while (engine.samples.size() > 1 &&
+         now - engine.samples[1].at >= engine.report_lag) {
+    engine.samples.pop_front();
+  }
+}
+
+HttpReply LoadReport(Engine& engine) {
+  SampleLoad(engine);
+  const Engine::LoadSample& sample = engine.samples.front();
+  return Json(
+      json::object{{"running", sample.running}, {"waiting", sample.waiting}});
+}
+
 asio::awaitable<void> StepLoop(std::shared_ptr<Engine> engine) {
   while (!engine->running.empty() || !engine->waiting.empty()) {
     Admit(*engine);
+    SampleLoad(*engine);
     const double step =
         engine->slow_factor *
         (engine->step_ms + engine->step_per_sequence_ms *
@@ -327,6 +354,8 @@
     co_await exchange.Respond(TakeOrder(*engine, body));
   } else if (path == "/counts") {
     co_await exchange.Respond(Counts(*engine));
+  } else if (path == "/load") {
+    co_await exchange.Respond(LoadReport(*engine));
   } else if (path == "/health") {
     co_await exchange.Respond(Json(json::object()));
   } else {
--- a/test/support/virtual_site.cc
+++ b/test/support/virtual_site.cc
@@ -29,8 +29,7 @@
 VirtualSite::VirtualSite(SiteOptions options)
     : m_options(std::move(options)), m_random(m_options.seed) {
   hosts.resize(m_options.instances);
-  for (LogStream stream :
-       {LogStream::kConfiguration, LogStream::kClaims, LogStream::kOrders}) {
+  for (LogStream stream : {LogStream::kConfiguration, LogStream::kClaims}) {
     log.first[stream] = 1;
   }
   auto parsed = ParseConfiguration(m_options.config_text);
@@ -400,8 +399,6 @@
   });
 }
 
-void VirtualSite::Do(size_t, const SendOrder&) {}
-
 void VirtualSite::Do(size_t host, const StopSuperseded&) {
   Crash(host);
 }
--- a/test/support/virtual_site.h
+++ b/test/support/virtual_site.h
@@ -167,7 +167,6 @@
   void Do(size_t host, const ForwardRequest& action);
   void Do(size_t host, const AppendRecord& action);
   void Do(size_t host, const FetchConfiguration& action);
-  void Do(size_t host, const SendOrder& action);
   void Do(size_t host, const StopSuperseded& action);
   void Tick(size_t host);
   void ReadLog(size_t host, LogStream stream);
