--- a/src/core/configuration.cc
+++ b/src/core/configuration.cc
@@ -11,7 +11,7 @@
 namespace pomeloring {
 namespace {
 
-constexpr size_t kLongestText = 16 * 1024 * 1024;
+constexpr size_t kLongestText = size_t{16} * 1024 * 1024;
 constexpr int64_t kLowestTier = 16;
 constexpr int64_t kMostSlots = 65536;
 constexpr size_t kHexDigitsOfSha256 = 64;
--- a/src/core/instance_platform.cc
+++ b/src/core/instance_platform.cc
@@ -39,8 +39,7 @@
     if (changed) {
       RebuildView(now, out);
     }
-  }
-  if (stream == LogStream::kClaims) {
+  } else {
     std::vector<std::pair<CallerRequest, Incarnation>> decided;
     {
       const std::lock_guard lock(m_claims_mutex);
--- a/src/platform/http_platform.cc
+++ b/src/platform/http_platform.cc
@@ -135,8 +135,9 @@
   }
 
  private:
-  HttpRequestMessage MakeRequest(http::verb verb, std::string target) const {
-    HttpRequestMessage request{verb, std::move(target), 11};
+  HttpRequestMessage MakeRequest(http::verb verb,
+                                 const std::string& target) const {
+    HttpRequestMessage request{verb, target, 11};
     request.set(http::field::host, m_address);
     request.set(http::field::content_type, "application/json");
     return request;
