Read a cell's grants once for each report of running slots

Cause, found in reading the change again: for each of up to 64 replicas the report looked through all grants of the cell, every second for every entry. Change: one pass sorts the entry's grants by replica. Its time was not measured.

--- a/src/core/cell.cc
+++ b/src/core/cell.cc
@@ -496,6 +496,37 @@
   return replies;
 }
 
+// Grants of one entry at one replica, the oldest first.
+using KnownGrants = std::vector<std::pair<Time, AttemptId>>;
+
+// Returns the grants of `entry` by replica, in one pass over all grants.
+std::vector<KnownGrants> GrantsOf(const CellState& cell,
+                                  const InstanceName& entry) {
+  std::vector<KnownGrants> known(cell.replicas.size());
+  for (const auto& [attempt, grant] : cell.grants) {
+    if (grant.entry == entry) {
+      known[grant.replica].emplace_back(grant.since, attempt);
+    }
+  }
+  for (KnownGrants& grants : known) {
+    std::sort(grants.begin(), grants.end());
+  }
+  return known;
+}
+
+// Grants that are old enough to have been told of, but were not, were lost on
+// the way back: the oldest are forgotten.
+void ForgetLost(CellState& cell,
+                const KnownGrants& known,
+                uint32_t reported,
+                Time now) {
+  for (size_t k = 0; k + reported < known.size(); ++k) {
+    if (now - known[k].first > kUnreportedRun) {
+      EndGrant(cell, known[k].second);
+    }
+  }
+}
+
 }  // namespace
 
 void ConfigureCell(CellState& cell,
@@ -582,32 +613,20 @@
                                const RunningSlots& running,
                                Time now) {
   cell.last_report[running.entry] = now;
-  for (uint32_t i = 0; i < cell.replicas.size(); ++i) {
-    Replica& replica = cell.replicas[i];
-    uint32_t reported = 0;
-    for (const RunningCount& count : running.counts) {
-      if (count.upstream == replica.upstream.name) {
-        reported = count.running;
-      }
-    }
-    // Grants that are old enough to have been told of, but were not, were lost
-    // on the way back: the oldest are forgotten.
-    std::vector<std::pair<Time, AttemptId>> known;
-    for (const auto& [attempt, grant] : cell.grants) {
-      if (grant.entry == running.entry && grant.replica == i) {
-        known.emplace_back(grant.since, attempt);
-      }
-    }
-    std::sort(known.begin(), known.end());
-    for (size_t k = 0; k + reported < known.size(); ++k) {
-      if (now - known[k].first > kUnreportedRun) {
-        EndGrant(cell, known[k].second);
-      }
+  const std::vector<KnownGrants> known = GrantsOf(cell, running.entry);
+  std::vector<uint32_t> reported(cell.replicas.size(), 0);
+  for (const RunningCount& count : running.counts) {
+    if (const auto index = IndexOf(cell, count.upstream)) {
+      reported[*index] = count.running;
     }
+  }
+  for (size_t i = 0; i < cell.replicas.size(); ++i) {
+    ForgetLost(cell, known[i], reported[i], now);
+    Replica& replica = cell.replicas[i];
     replica.inherited.erase(running.entry);
-    if (reported > known.size()) {
+    if (reported[i] > known[i].size()) {
       replica.inherited[running.entry] =
-          reported - static_cast<uint32_t>(known.size());
+          reported[i] - static_cast<uint32_t>(known[i].size());
     }
   }
   CellReplies replies;
