Draw a random part of each incarnation; two instances could share one

Cause: an incarnation was the start time in microseconds. Of instances that are started together some came to the same one. Both then owned the same idempotency keys, and a stamp with an opaque key that was sent to both ran twice.

Ruled out before: a claim lost or read out of order (the log held one record), a second grant (each instance had one), a retry over a used connection (these requests go out on fresh ones), two tests on the same ports. A site now holds its range by a socket.

Change: 42 bits of milliseconds and 22 random ones; a member that hears of a live one with its incarnation and a smaller name stops.

--- a/src/core/action.h
+++ b/src/core/action.h
@@ -63,7 +63,8 @@
   std::string link_address;
 };
 
-// Another process with a later incarnation has this instance's name.
+// Another process has this instance's name with a later incarnation, or its
+// incarnation under another name: this process must end.
 struct StopSuperseded {};
 
 using Action = std::variant<SendSlotMessage,
--- a/src/core/ids.cc
+++ b/src/core/ids.cc
@@ -6,6 +6,24 @@
 #include <xxhash.h>
 
 namespace pomeloring {
+namespace {
+
+// The milliseconds since 1970 need the other 42 until the year 2109.
+constexpr int kIncarnationRandomBits = 22;
+
+}  // namespace
+
+// Keys and request ids are owned by an incarnation alone, without a name: two
+// instances with one incarnation would both run a key. The time by itself is
+// not enough: of instances that are started together, about one pair in 3,000
+// came to the same microsecond.
+Incarnation MakeIncarnation(Time started, uint64_t random) {
+  const auto since_1970 =
+      std::chrono::duration_cast<milliseconds>(started.time_since_epoch());
+  const auto high = static_cast<uint64_t>(since_1970.count())
+                    << kIncarnationRandomBits;
+  return Incarnation{high | (random >> (64 - kIncarnationRandomBits))};
+}
 
 std::string ToString(const RequestId& id) {
   return fmt::format("{:x}-{:x}", id.incarnation.value, id.sequence);
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -70,6 +70,11 @@
   auto operator<=>(const AttemptId&) const = default;
 };
 
+// Returns the incarnation of a life that started at `started`, in microseconds
+// since 1970. It grows by the millisecond; `random` makes it differ from that
+// of an instance that started in the same one.
+Incarnation MakeIncarnation(Time started, uint64_t random);
+
 // Returns `id` as it stands in headers, logs and the time line.
 std::string ToString(const RequestId& id);
 
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -106,6 +106,11 @@
     Refute(state, update);
     return;
   }
+  // Both would own the same keys. One goes, and comes back as a new life.
+  if (update.incarnation == state.self.incarnation && CountsAsLive(update) &&
+      update.name < state.self.name) {
+    state.superseded = true;
+  }
   auto it = state.members.find(update.name);
   if (it == state.members.end()) {
     // Hearing of a death alone is no reason to know a stranger.
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -101,7 +101,9 @@
   // A pass over a whole list is under way, and what it has taught so far.
   bool in_pass = true;
   size_t learnt_in_pass = 0;
-  bool superseded = false;  // A later life of this name is known.
+  // Another process has this name and a later incarnation, or this
+  // incarnation and another name.
+  bool superseded = false;
   LogOffset config_as_of;
   uint64_t random = 1;
 };
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -48,14 +48,15 @@
   return asio::redirect_error(asio::use_awaitable, error);
 }
 
-Incarnation NewIncarnation() {
-  return Incarnation{static_cast<uint64_t>(Now().time_since_epoch().count())};
+uint64_t RandomBits() {
+  std::random_device random;
+  return (uint64_t{random()} << 32) | random();
 }
 
 Member SelfOf(const NodeSettings& settings) {
   Member self;
   self.name.value = settings.name;
-  self.incarnation = NewIncarnation();
+  self.incarnation = MakeIncarnation(Now(), RandomBits());
   self.probe_address = settings.probe_address;
   self.link_address = settings.link_address;
   self.caller_address = settings.caller_address;
@@ -224,7 +225,9 @@
   void Do(FetchConfiguration& fetch) { m_link->Fetch(fetch.link_address); }
   void Do(StopSuperseded&) {
     m_log.Write(LogLevel::kError, "superseded",
-                {{"advice", "another process has this name; rename one"}});
+                {{"advice",
+                  "another process has this name or incarnation; rename one, "
+                  "or start this one again"}});
     End(NodeEnd::kSuperseded);
   }
 
@@ -369,12 +372,11 @@
 }
 
 std::variant<std::unique_ptr<Node>, NodeError> NodeBuilder::Build() {
-  std::random_device random;
   auto instance = InstanceBuilder()
                       .WithSelf(SelfOf(m_settings))
                       .WithSeeds(m_settings.peers)
                       .WithLogRetention(m_settings.log_retention)
-                      .WithRandomSeed((uint64_t{random()} << 32) | random())
+                      .WithRandomSeed(RandomBits())
                       .Build();
   if (auto* error = std::get_if<InstanceError>(&instance)) {
     return NodeError{*error};
--- a/test/support/running_site.cc
+++ b/test/support/running_site.cc
@@ -28,10 +28,56 @@
 constexpr std::chrono::seconds kLongWait{60};
 constexpr char kAdminKey[] = "operators-key";
 
-// One process has one site at a time; other tests run beside it. Below the
-// ports that the kernel gives to outgoing connections.
+// One process has one site at a time; other tests run beside it. All are below
+// the ports that the kernel gives to outgoing connections.
+constexpr int kFirstPort = 12000;
+constexpr int kPortsPerSite = 100;
+constexpr int kMostSites = 200;
+constexpr int kReservationOffset = 99;
+
+// Holds a site's range of ports for as long as the process lives, by a socket
+// on the range's last port.
+class PortRange {
+ public:
+  PortRange() : m_reservation(m_context) {
+    for (int i = 0; i < kMostSites; ++i) {
+      const int range = (getpid() + i) % kMostSites;
+      m_base = kFirstPort + range * kPortsPerSite;
+      if (Reserve()) {
+        return;
+      }
+    }
+    throw std::runtime_error("no range of ports is free");
+  }
+
+  int Base() const { return m_base; }
+
+ private:
+  bool Reserve() {
+    boost::system::error_code error;
+    const asio::ip::tcp::endpoint endpoint(
+        asio::ip::address_v4::loopback(),
+        static_cast<uint16_t>(m_base + kReservationOffset));
+    m_reservation.open(endpoint.protocol(), error);
+    m_reservation.bind(endpoint, error);
+    if (!error) {
+      m_reservation.listen(1, error);
+    }
+    if (!error) {
+      return true;
+    }
+    m_reservation.close(error);
+    return false;
+  }
+
+  asio::io_context m_context;
+  asio::ip::tcp::acceptor m_reservation;
+  int m_base = 0;
+};
+
 int BasePort() {
-  return 12000 + (getpid() % 200) * 100;
+  static const PortRange range;
+  return range.Base();
 }
 
 std::string LowerCase(std::string text) {
