Order engines to load adapters and to drain, with fencing numbers

Cause: orders to engines were the one promise without a mechanism.

Change: the configuration says which adapters a service's engines have and marks say which drain; the scheduler of an engine's cell orders it the whole wanted state. The fencing number is the log offset up to which the sender has read: the wanted state follows from it alone. Engines that ignore numbers are read back and put right.

--- a/include/pomeloring/link.h
+++ b/include/pomeloring/link.h
@@ -8,6 +8,8 @@
 #include "link/caller_api.h"
 #include "link/clock.h"
 #include "link/codec.h"
+#include "link/engine_call.h"
+
 #include "link/http_client.h"
 #include "link/http_server.h"
 #include "link/io_threads.h"
--- a/src/core/action.h
+++ b/src/core/action.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/configuration.h"
+#include "core/engine_order.h"
 #include "core/membership.h"
 #include "core/messages.h"
 #include "core/outcome.h"
@@ -63,6 +64,14 @@
   std::string link_address;
 };
 
+// Sends an engine an order, or reads its state where there is none. The daemon
+// says how it ended.
+struct CallEngine {
+  EngineCall call;
+  // An order that is not sent by then is stale: this process was paused.
+  Time send_by;
+};
+
 // Another process has this instance's name with a later incarnation, or its
 // incarnation under another name: this process must end.
 struct StopSuperseded {};
@@ -75,6 +84,7 @@
                             ForwardRequest,
                             AppendRecord,
                             FetchConfiguration,
+                            CallEngine,
                             StopSuperseded>;
 using Actions = std::vector<Action>;
 
--- a/src/core/configuration.cc
+++ b/src/core/configuration.cc
@@ -62,6 +62,16 @@
   for (std::string& name : reader.Strings("depends_on")) {
     service.depends_on.push_back({std::move(name)});
   }
+  service.takes_orders = reader.Bool("takes_orders", false);
+  service.adapters = reader.Strings("adapters");
+  if (!is_model && service.takes_orders) {
+    reader.Fail(
+        OutOfRange{reader.PathOf("takes_orders"), "false for a plain service"});
+  }
+  if (!service.takes_orders && !service.adapters.empty()) {
+    reader.Fail(OutOfRange{reader.PathOf("adapters"),
+                           "none unless takes_orders is true"});
+  }
   reader.Finish();
   return service;
 }
--- a/src/core/configuration.h
+++ b/src/core/configuration.h
@@ -29,6 +29,7 @@
   FailureDomain failure_domain;
   RegionName region;
   uint32_t slots = 1;  // Most requests to run at once.
+  // Refuses orders with a fencing number below one that it has seen.
   bool checks_fencing = false;
 };
 
@@ -39,6 +40,9 @@
   std::string path_prefix;          // Of a plain service.
   std::vector<Upstream> upstreams;
   std::vector<ServiceName> depends_on;
+  // Its upstreams take orders to load adapters and to drain.
+  bool takes_orders = false;
+  std::vector<std::string> adapters;  // To be loaded on every upstream.
 };
 
 struct RequestClass {
--- a/src/core/instance.h
+++ b/src/core/instance.h
@@ -19,6 +19,8 @@
 #include "core/action.h"
 #include "core/cell.h"
 #include "core/cluster_view.h"
+#include "core/engine_order.h"
+
 #include "core/config_history.h"
 #include "core/entry.h"
 #include "core/idempotency_key.h"
@@ -110,6 +112,14 @@
                              const std::set<UpstreamName>& leaving,
                              Time now);
 
+  // Engines.
+  Actions HandleOrderEnded(const EngineOrder& order,
+                           const OrderOutcome& outcome,
+                           Time now);
+  Actions HandleEngineRead(const UpstreamName& upstream,
+                           const std::optional<EngineReading>& reading,
+                           Time now);
+
   // Time and the end.
   Actions HandleTick(Time now);
   Actions HandleStop(Time now);
@@ -122,6 +132,8 @@
   std::optional<PublishOutcome> OutcomeOf(const std::string& publish_id) const;
   std::vector<Member> KnownMembers() const;
   std::vector<CellSummary> Cells(Time now) const;
+  // Those that this instance gives orders to.
+  std::vector<EngineRecord> Engines() const;
   const Timeline& Events() const { return m_timeline; }
   const InstanceSettings& Settings() const { return m_settings; }
 
@@ -195,6 +207,7 @@
   void TickEntries(Time now, Actions& out);
   void TickClaims(Time now, Actions& out);
   void TickSnapshots(Time now, Actions& out);
+  void TickEngines(Time now, Actions& out);
   void ReportRunning(Time now, Actions& out);
   void WatchSchedulers(Time now, Actions& out);
   void AskOthersThan(const InstanceName& lost, Time now, Actions& out);
@@ -229,6 +242,10 @@
   std::set<UpstreamName> m_leaving_by_platform;
   Time m_next_running_report;
 
+  mutable std::mutex m_orders_mutex;
+  OrderBook m_orders;
+  LogOffset m_orders_as_of;
+
   struct SchedulerWatch {
     Time probed;
     bool answered = true;
--- /dev/null
+++ b/src/core/instance_orders.cc
@@ -0,0 +1,69 @@
+#include <fmt/format.h>
+
+#include "core/instance.h"
+
+namespace pomeloring {
+namespace {
+
+// A process that was paused with an order in hand must not send it on waking.
+constexpr Duration kSendPatience = milliseconds(500);
+
+std::string Describe(const EngineState& state) {
+  return fmt::format("{}{} adapters", state.draining ? "draining, " : "",
+                     state.adapters.size());
+}
+
+std::string Describe(const OrderOutcome& outcome) {
+  if (const auto* refused = std::get_if<OrderRefused>(&outcome)) {
+    return fmt::format("refused, {} was seen", refused->seen.value);
+  }
+  return std::holds_alternative<OrderTaken>(outcome) ? "taken" : "unanswered";
+}
+
+}  // namespace
+
+void Instance::TickEngines(Time now, Actions& out) {
+  std::vector<EngineCall> calls;
+  {
+    const std::lock_guard lock(m_orders_mutex);
+    calls = TickOrders(m_orders, now);
+  }
+  for (EngineCall& call : calls) {
+    if (call.order) {
+      m_timeline.Record(EventKind::kOrderSent, {}, call.upstream.value,
+                        fmt::format("{} at {}", Describe(call.order->wanted),
+                                    call.order->fencing.value),
+                        now);
+    }
+    out.push_back(CallEngine{std::move(call), now + kSendPatience});
+  }
+}
+
+Actions Instance::HandleOrderEnded(const EngineOrder& order,
+                                   const OrderOutcome& outcome,
+                                   Time now) {
+  m_timeline.Record(EventKind::kOrderEnded, {}, order.upstream.value,
+                    Describe(outcome), now);
+  const std::lock_guard lock(m_orders_mutex);
+  pomeloring::HandleOrderEnded(m_orders, order, outcome, now);
+  return {};
+}
+
+Actions Instance::HandleEngineRead(const UpstreamName& upstream,
+                                   const std::optional<EngineReading>& reading,
+                                   Time now) {
+  const std::lock_guard lock(m_orders_mutex);
+  pomeloring::HandleEngineRead(m_orders, upstream, reading, now);
+  return {};
+}
+
+std::vector<EngineRecord> Instance::Engines() const {
+  const std::lock_guard lock(m_orders_mutex);
+  std::vector<EngineRecord> engines;
+  for (const auto& [name, record] : m_orders.engines) {
+    engines.push_back(record);
+  }
+  return engines;
+}
+
+}  // namespace pomeloring
--- a/src/core/instance_platform.cc
+++ b/src/core/instance_platform.cc
@@ -154,6 +154,12 @@
                       fmt::format("offset {}", view->config.as_of.value), now);
   }
   ReconfigureCells(*view, now, out);
+  const std::lock_guard lock(m_orders_mutex);
+  // Another thread may have been here with a later view.
+  if (view->config.as_of >= m_orders_as_of) {
+    m_orders_as_of = view->config.as_of;
+    UpdateOrderBook(m_orders, *view, now);
+  }
 }
 
 void Instance::ReconfigureCells(const ClusterView& view,
--- a/src/core/instance_time.cc
+++ b/src/core/instance_time.cc
@@ -31,6 +31,7 @@
   TickEntries(now, out);
   TickClaims(now, out);
   TickSnapshots(now, out);
+  TickEngines(now, out);
   WatchSchedulers(now, out);
   ReportRunning(now, out);
   return DeliverLocally(std::move(out), now);
--- a/src/core/timeline.cc
+++ b/src/core/timeline.cc
@@ -31,6 +31,8 @@
       "member-changed",
       "configuration-in-force",
       "log-unavailable",
+      "order-sent",
+      "order-ended",
       "stopping",
   };
   static_assert(std::size(kNames) ==
--- a/src/core/timeline.h
+++ b/src/core/timeline.h
@@ -42,6 +42,8 @@
   kMemberChanged,
   kConfigurationInForce,
   kLogUnavailable,
+  kOrderSent,
+  kOrderEnded,
   kStopping,
 };
 
--- a/src/ctl/command_line.cc
+++ b/src/ctl/command_line.cc
@@ -56,7 +56,7 @@
     "  publish FILE            put FILE in force in place of --base\n"
     "  mark TARGET STATE       mark an upstream or instance in-service,\n"
     "                          leaving or stopping\n"
-    "  show config|classes|members|cells|entries\n"
+    "  show config|classes|members|cells|entries|engines\n"
     "  stop                    begin a planned stop of the --admin instance\n"
     "  timeline                merge the events of all --admin instances\n"
     "\n"
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -314,16 +314,14 @@
 int Show(const CommandLine& line) {
   const std::string& what = line.words[1];
   static const std::map<std::string, std::string> kPaths = {
-      {"config", "/v1/config"},
-      {"classes", "/v1/config"},
-      {"members", "/v1/members"},
-      {"entries", "/v1/members"},
-      {"cells", "/v1/cells"}};
+      {"config", "/v1/config"},   {"classes", "/v1/config"},
+      {"members", "/v1/members"}, {"entries", "/v1/members"},
+      {"cells", "/v1/cells"},     {"engines", "/v1/engines"}};
   const auto path = kPaths.find(what);
   if (path == kPaths.end() || line.admins.empty()) {
     return Fail(kExitUsage,
-                "show config, classes, members, cells or entries, and name an "
-                "instance with --admin");
+                "show config, classes, members, cells, entries or engines, and "
+                "name an instance with --admin");
   }
   const AdminResult result =
       GetFromAdmin(line.admins.front(), line.key, path->second);
@@ -344,6 +342,10 @@
   if (what == "cells") {
     return ShowCells(*reply);
   }
+  if (what == "engines") {
+    PrintTable(reply->as_object().at("engines").as_array());
+    return kExitOk;
+  }
   PrintTable(reply->as_object().at("members").as_array());
   return kExitOk;
 }
--- a/src/daemon/admin_api.cc
+++ b/src/daemon/admin_api.cc
@@ -103,6 +103,22 @@
   return Json(json::object{{"cells", cells}});
 }
 
+HttpReply ShowEngines(const AdminApiParts& parts) {
+  json::array engines;
+  for (const EngineRecord& engine : parts.instance.Engines()) {
+    engines.push_back(
+        json::object{{"upstream", engine.upstream.name.value},
+                     {"checks_fencing", engine.upstream.checks_fencing},
+                     {"adapters", json::array(engine.wanted.adapters.begin(),
+                                              engine.wanted.adapters.end())},
+                     {"draining", engine.wanted.draining},
+                     {"fencing", engine.as_of.value},
+                     {"confirmed", engine.confirmed},
+                     {"failures", engine.failures}});
+  }
+  return Json(json::object{{"engines", engines}});
+}
+
 HttpReply ShowTimeline(const AdminApiParts& parts) {
   json::array events;
   for (const TimelineEvent& event : parts.instance.Events().Events()) {
@@ -147,6 +163,9 @@
   if (path == "/v1/cells") {
     return ShowCells(parts);
   }
+  if (path == "/v1/engines") {
+    return ShowEngines(parts);
+  }
   if (path == "/v1/timeline") {
     return ShowTimeline(parts);
   }
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -21,6 +21,8 @@
 #include "link/caller_api.h"
 #include "link/clock.h"
 #include "link/codec.h"
+#include "link/engine_call.h"
+
 #include "link/io_threads.h"
 #include "link/problem.h"
 #include "link/session.h"
@@ -38,6 +40,7 @@
 constexpr std::chrono::milliseconds kLogRetry{500};
 constexpr std::chrono::milliseconds kListInterval{2000};
 constexpr std::chrono::milliseconds kDrainPoll{50};
+constexpr std::chrono::milliseconds kEngineDeadline{2000};
 // The time for all others to hear that this instance is leaving, after which
 // no address answer names it any more.
 constexpr std::chrono::seconds kLeavingSpread{3};
@@ -223,6 +226,7 @@
   }
   void Do(AppendRecord& append) { Spawn(Append(std::move(append))); }
   void Do(FetchConfiguration& fetch) { m_link->Fetch(fetch.link_address); }
+  void Do(CallEngine& call) { Spawn(CarryOut(std::move(call))); }
   void Do(StopSuperseded&) {
     m_log.Write(LogLevel::kError, "superseded",
                 {{"advice",
@@ -301,6 +305,25 @@
     Run(m_instance->HandleAppendEnded(append.stream, succeeded, Now()));
   }
 
+  asio::awaitable<void> CarryOut(CallEngine engine) {
+    const EngineCall& call = engine.call;
+    if (!call.order) {
+      const auto reading =
+          co_await ReadEngineState(call.address, kEngineDeadline);
+      Run(m_instance->HandleEngineRead(call.upstream, reading, Now()));
+      co_return;
+    }
+    OrderOutcome outcome = OrderUnanswered{};
+    if (Now() < engine.send_by) {
+      outcome = co_await SendEngineOrder(*call.order, kEngineDeadline);
+    }
+    if (!std::holds_alternative<OrderTaken>(outcome)) {
+      m_log.Write(LogLevel::kWarning, "order-not-taken",
+                  {{"upstream", call.upstream.value}});
+    }
+    Run(m_instance->HandleOrderEnded(*call.order, outcome, Now()));
+  }
+
   asio::awaitable<void> ListLoop() {
     asio::steady_timer timer(m_threads.First());
     while (!m_ended) {
--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -291,23 +291,24 @@
   }
 }
 
+json::object OrderedState(const Engine& engine) {
+  return {
+      {"fencing", engine.fencing},
+      {"adapters", json::array(engine.adapters.begin(), engine.adapters.end())},
+      {"draining", engine.is_draining}};
+}
+
 HttpReply Counts(const Engine& engine) {
   json::object runs;
   for (const auto& [text, count] : engine.runs) {
     runs[text] = count;
   }
-  json::array adapters;
-  for (const std::string& adapter : engine.adapters) {
-    adapters.emplace_back(adapter);
-  }
   return Json(json::object{{"started", engine.started},
                            {"tokens", engine.tokens},
                            {"running", engine.running.size()},
                            {"waiting", engine.waiting.size()},
-                           {"fencing", engine.fencing},
-                           {"adapters", adapters},
-                           {"draining", engine.is_draining},
-                           {"runs", runs}});
+                           {"runs", runs},
+                           {"ordered", OrderedState(engine)}});
 }
 
 void TakeControl(Engine& engine, const json::value& control) {
@@ -329,20 +330,20 @@
   }
   engine.fencing = std::max(engine.fencing, fencing);
   const json::object& object = order.as_object();
-  if (const json::value* adapter = object.if_contains("adapter")) {
-    engine.adapters.insert(std::string(adapter->as_string()));
-  }
-  if (const json::value* draining = object.if_contains("draining")) {
-    engine.is_draining = draining->as_bool();
+  engine.adapters.clear();
+  for (const json::value& adapter : object.at("adapters").as_array()) {
+    engine.adapters.insert(std::string(adapter.as_string()));
   }
-  return Json(json::object{{"fencing", engine.fencing}});
+  engine.is_draining = object.at("draining").as_bool();
+  return Json(OrderedState(engine));
 }
 
 asio::awaitable<void> Serve(std::shared_ptr<Engine> engine,
                             HttpExchange& exchange) {
   const std::string path(exchange.Request().target());
+  const bool is_post = exchange.Request().method_string() == "POST";
   json::error_code error;
-  const json::value body = path == "/control" || path == "/orders"
+  const json::value body = is_post && (path == "/control" || path == "/orders")
                                ? json::parse(exchange.Request().body(), error)
                                : json::value{};
   if (path == "/v1/chat/completions" || path == "/v1/completions") {
@@ -352,6 +353,8 @@
     co_await exchange.Respond(Json(json::object()));
   } else if (path == "/orders" && body.is_object()) {
     co_await exchange.Respond(TakeOrder(*engine, body));
+  } else if (path == "/orders") {
+    co_await exchange.Respond(Json(OrderedState(*engine)));
   } else if (path == "/counts") {
     co_await exchange.Respond(Counts(*engine));
   } else if (path == "/load") {
--- a/test/error/bad_configurations_are_named_test.cc
+++ b/test/error/bad_configurations_are_named_test.cc
@@ -24,6 +24,14 @@
     {"unknown field of a service",
      R"({"services":[{"name":"s","kind":"plain","path_prefix":"/s","x":1}]})",
      "unknown-field", "services[0].x"},
+    {"orders to a plain service",
+     R"({"services":[{"name":"s","kind":"plain","path_prefix":"/s",)"
+     R"("takes_orders":true}]})",
+     "out-of-range", "services[0].takes_orders"},
+    {"adapters without orders",
+     R"({"services":[{"name":"s","kind":"model","models":["m"],)"
+     R"("adapters":["a"]}]})",
+     "out-of-range", "services[0].adapters"},
     {"missing name", R"({"services":[{"kind":"plain","path_prefix":"/s"}]})",
      "missing-field", "services[0].name"},
     {"unknown kind", R"({"services":[{"name":"s","kind":"x"}]})",
--- a/test/fuzz/promise_run.cc
+++ b/test/fuzz/promise_run.cc
@@ -14,7 +14,8 @@
 constexpr size_t kLedgers = 2;
 
 std::string Text(uint32_t slots) {
-  return SmallConfig(kEngines, kLedgers, slots);
+  return WithOrders(SmallConfig(kEngines, kLedgers, slots), kEngines,
+                    fmt::format("adapter-{}", slots));
 }
 
 SiteOptions Options(uint64_t seed) {
@@ -143,6 +144,8 @@
         return;
       case StepKind::kCallerGone:
         return CallerGone(step);
+      case StepKind::kResetEngine:
+        return m_site.ResetEngine(UpstreamOf(step.a).upstream.name.value);
       case StepKind::kExpireRecords:
         return ExpireRecords(step);
     }
@@ -265,6 +268,7 @@
     }
     CheckStarts();
     CheckConfiguration();
+    CheckOrders();
     if (m_site.callers.size() > 0) {
       // Each event touches few requests: one in turn and the newest are enough
       // to see every one many times.
@@ -351,6 +355,27 @@
     }
   }
 
+  // Whoever sends it, an order's number says what it wants.
+  void CheckOrders() {
+    for (const auto& [name, engine] : m_site.upstreams) {
+      if (engine.has_conflicting_orders) {
+        Fail("orders follow the log", name.value);
+      }
+    }
+  }
+
+  void CheckEnginesAtRest() {
+    const auto view = m_site.hosts[0].instance->View();
+    const Service& service =
+        view->config.configuration->services.at(ServiceName{"model"});
+    for (const Upstream& upstream : service.upstreams) {
+      const EngineState& state = m_site.upstreams[upstream.name].state;
+      if (state.adapters != service.adapters) {
+        Fail("engines are as wanted", upstream.name.value);
+      }
+    }
+  }
+
   void CheckCaller(const CallerRecord& record) {
     if (record.answers > 1) {
       Fail("one final answer",
@@ -389,6 +414,7 @@
       }
       CheckCellsAtRest(host);
     }
+    CheckEnginesAtRest();
   }
 
   void CheckCellsAtRest(size_t host) {
@@ -424,12 +450,13 @@
 
 std::string Describe(const Step& step) {
   static constexpr std::string_view kNames[] = {
-      "submit",      "wait",          "crash",         "restart",
-      "pause",       "resume",        "cut",           "heal",
-      "lossy",       "upstream-down", "upstream-up",   "lose-reply",
-      "refuse",      "slow",          "log-down",      "log-up",
-      "lose-append", "publish",       "publish-stale", "mark",
-      "unmark",      "stop",          "caller-gone",   "expire-records",
+      "submit",       "wait",          "crash",         "restart",
+      "pause",        "resume",        "cut",           "heal",
+      "lossy",        "upstream-down", "upstream-up",   "lose-reply",
+      "refuse",       "slow",          "log-down",      "log-up",
+      "lose-append",  "publish",       "publish-stale", "mark",
+      "unmark",       "stop",          "caller-gone",   "expire-records",
+      "reset-engine",
   };
   static_assert(std::size(kNames) == kStepKinds);
   return fmt::format("{} {} {}", kNames[static_cast<size_t>(step.kind)], step.a,
--- a/test/fuzz/promise_run.h
+++ b/test/fuzz/promise_run.h
@@ -36,9 +36,9 @@
   kStop,
   kCallerGone,
   kExpireRecords,
+  kResetEngine,
 };
-inline constexpr int kStepKinds =
-    static_cast<int>(StepKind::kExpireRecords) + 1;
+inline constexpr int kStepKinds = static_cast<int>(StepKind::kResetEngine) + 1;
 
 // What `a` and `b` choose depends on the kind; any value is good.
 struct Step {
--- a/test/support/running_site.cc
+++ b/test/support/running_site.cc
@@ -151,8 +151,9 @@
   for (size_t i = 0; i < m_options.engines; ++i) {
     engines.push_back(std::make_unique<Process>(
         "pomeloring-standin-engine",
-        std::vector<std::string>{"--address", EngineAddress(i),
-                                 "--step_ms=" + m_options.step_ms}));
+        std::vector<std::string>{
+            "--address", EngineAddress(i), "--step_ms=" + m_options.step_ms,
+            fmt::format("--checks_fencing={}", ChecksFencing(i) ? 1 : 0)}));
   }
   for (size_t i = 0; i < m_options.ledgers; ++i) {
     ledgers.push_back(std::make_unique<Process>(
@@ -223,6 +224,7 @@
       list.push_back(json::object{{"name", fmt::format("{}-{}", prefix, i)},
                                   {"address", address_of(i)},
                                   {"failure_domain", "domain-0"},
+                                  {"checks_fencing", ChecksFencing(i)},
                                   {"slots", 16}});
     }
     return list;
@@ -233,6 +235,8 @@
            json::object{{"name", "model"},
                         {"kind", "model"},
                         {"models", json::array{"cask-7b"}},
+                        {"takes_orders", true},
+                        {"adapters", json::array{m_adapter}},
                         {"upstreams", upstreams("engine", m_options.engines,
                                                 [&](size_t i) {
                                                   return EngineAddress(i);
@@ -286,6 +290,21 @@
   return known == count;
 }
 
+int RunningSite::PublishAdapter(const std::string& adapter,
+                                const std::string& base) {
+  m_adapter = adapter;
+  WriteConfig();
+  return RunProgram("pomeloring-ctl",
+                    {"--platform", PlatformAddress(), "publish", ConfigPath(),
+                     "--base", base});
+}
+
+bool RunningSite::IsOrdered(size_t engine, const std::string& text) const {
+  const HttpAnswer state =
+      Call({.address = EngineAddress(engine), .target = "/orders"});
+  return state.body.find(text) != std::string::npos;
+}
+
 void RunningSite::PublishAndWait() {
   WaitUntil([&] {
     return Call({.address = PlatformAddress(), .target = "/instances"})
--- a/test/support/running_site.h
+++ b/test/support/running_site.h
@@ -75,6 +75,13 @@
   std::optional<size_t> SchedulerOf(const std::string& service) const;
   bool KnowsAll(size_t instance, size_t count) const;
 
+  // Publishes the configuration with this adapter; returns the exit code.
+  int PublishAdapter(const std::string& adapter, const std::string& base);
+  // Whether `text` stands in what the engine says that it was ordered.
+  bool IsOrdered(size_t engine, const std::string& text) const;
+  // Engines with even numbers check fencing numbers; the others ignore them.
+  static bool ChecksFencing(size_t engine) { return engine % 2 == 0; }
+
   void StartInstance(size_t instance);
 
   std::vector<std::unique_ptr<Process>> nodes;
@@ -89,6 +96,7 @@
   const RunningSiteOptions m_options;
   const int m_base_port;
   const std::string m_folder;
+  std::string m_adapter = "karst";
 };
 
 // Returns the text of a stream's token events, and whether it ended whole.
--- a/test/support/virtual_site.cc
+++ b/test/support/virtual_site.cc
@@ -11,6 +11,7 @@
 constexpr Duration kLogDelay = milliseconds(2);
 constexpr Duration kLogPoll = milliseconds(50);
 constexpr Duration kLogRetry = milliseconds(500);
+constexpr Duration kOrderDeadline = seconds(2);
 
 std::string LinkAddress(size_t host) {
   return fmt::format("10.0.0.{}:1", host + 1);
@@ -399,6 +400,76 @@
   });
 }
 
+void VirtualSite::Do(size_t host, const CallEngine& action) {
+  const EngineCall& call = action.call;
+  if (call.order) {
+    const EngineOrder order = *call.order;
+    if (hold_orders) {
+      m_held_orders.push_back([this, order] { TakeOrder(order); });
+      TellOrderEnded(host, m_now + kOrderDeadline, order, OrderUnanswered{});
+      return;
+    }
+    At(m_now + Delay(), [this, host, order] {
+      TellOrderEnded(host, m_now + Delay(), order, TakeOrder(order));
+    });
+    return;
+  }
+  const FakeUpstream& engine = upstreams[call.upstream];
+  std::optional<EngineReading> reading;
+  if (!engine.is_down) {
+    reading = EngineReading{engine.state, engine.fencing};
+  }
+  AtHost(host, m_now + Delay(), [this, host, name = call.upstream, reading] {
+    Carry(host, hosts[host].instance->HandleEngineRead(name, reading, m_now));
+  });
+}
+
+void VirtualSite::TellOrderEnded(size_t host,
+                                 Time at,
+                                 const EngineOrder& order,
+                                 const OrderOutcome& outcome) {
+  AtHost(host, at, [this, host, order, outcome] {
+    Carry(host, hosts[host].instance->HandleOrderEnded(order, outcome, m_now));
+  });
+}
+
+OrderOutcome VirtualSite::TakeOrder(const EngineOrder& order) {
+  FakeUpstream& engine = upstreams[order.upstream];
+  const auto [of_number, is_first] =
+      engine.state_by_fencing.emplace(order.fencing, order.wanted);
+  engine.has_conflicting_orders |=
+      !is_first && of_number->second != order.wanted;
+  if (engine.is_down) {
+    return OrderUnanswered{};
+  }
+  const bool checks = engine.upstream.checks_fencing;
+  if (checks && order.fencing < engine.fencing) {
+    return OrderRefused{engine.fencing};
+  }
+  ++engine.orders;
+  engine.state = order.wanted;
+  engine.fencing = checks ? order.fencing : LogOffset{};
+  if (engine.lose_replies > 0) {
+    --engine.lose_replies;
+    return OrderUnanswered{};
+  }
+  return OrderTaken{};
+}
+
+void VirtualSite::ReleaseOrders() {
+  hold_orders = false;
+  for (const auto& arrive : m_held_orders) {
+    At(m_now + Delay(), arrive);
+  }
+  m_held_orders.clear();
+}
+
+void VirtualSite::ResetEngine(const std::string& upstream) {
+  FakeUpstream& engine = upstreams[UpstreamName{upstream}];
+  engine.state = {};
+  engine.fencing = {};
+}
+
 void VirtualSite::Do(size_t host, const StopSuperseded&) {
   Crash(host);
 }
@@ -554,6 +625,22 @@
   return 0;
 }
 
+std::string WithOrders(std::string config,
+                       size_t engines,
+                       std::string_view adapter) {
+  const auto insert_after = [&](const std::string& mark, std::string text) {
+    config.insert(config.find(mark) + mark.size(), text);
+  };
+  insert_after(
+      R"("models":["m"],)",
+      fmt::format(R"("takes_orders":true,"adapters":["{}"],)", adapter));
+  for (size_t i = 1; i <= engines; i += 2) {
+    insert_after(fmt::format(R"("name":"engine-{}",)", i),
+                 R"("checks_fencing":true,)");
+  }
+  return config;
+}
+
 std::string SmallConfig(size_t engines, size_t ledgers, uint32_t slots) {
   std::string model;
   for (size_t i = 1; i <= engines; ++i) {
--- a/test/support/virtual_site.h
+++ b/test/support/virtual_site.h
@@ -54,6 +54,12 @@
   std::map<std::string, int> runs;  // By body.
   int running = 0;
   int most_running = 0;
+  // Orders. A number has one state, whoever sends it.
+  EngineState state;
+  LogOffset fencing;
+  std::map<LogOffset, EngineState> state_by_fencing;
+  bool has_conflicting_orders = false;
+  int orders = 0;
 };
 
 struct FakeLog {
@@ -120,6 +126,11 @@
   // Operators.
   std::string Publish(Revision base, const std::string& text);
   void Mark(const std::string& target, MarkState state);
+  // Keeps orders on their way until ReleaseOrders().
+  bool hold_orders = false;
+  void ReleaseOrders();
+  // Loses what the engine was ordered, as a restart does.
+  void ResetEngine(const std::string& upstream);
   void DropRecordsBefore(LogStream stream, uint64_t offset);
 
   std::string BoundKey(size_t host, const std::string& rest) const;
@@ -167,7 +178,13 @@
   void Do(size_t host, const ForwardRequest& action);
   void Do(size_t host, const AppendRecord& action);
   void Do(size_t host, const FetchConfiguration& action);
+  void Do(size_t host, const CallEngine& action);
   void Do(size_t host, const StopSuperseded& action);
+  OrderOutcome TakeOrder(const EngineOrder& order);
+  void TellOrderEnded(size_t host,
+                      Time at,
+                      const EngineOrder& order,
+                      const OrderOutcome& outcome);
   void Tick(size_t host);
   void ReadLog(size_t host, LogStream stream);
   void EndRun(size_t host,
@@ -193,6 +210,7 @@
   std::map<RequestId, size_t> m_record_of;
   std::multimap<size_t, size_t> m_origins_of;  // Of forwarded requests.
   std::map<RequestId, uint32_t> m_delivered;
+  std::vector<std::function<void()>> m_held_orders;
 };
 
 // A small configuration: a plain service `ledger` with the class `stamp`
@@ -200,6 +218,12 @@
 // classes `question` (tier 2, dropped when late) and `history` (tier 5).
 std::string SmallConfig(size_t engines, size_t ledgers, uint32_t slots);
 
+// Makes the engines of a small configuration take orders to load `adapter`.
+// Those with odd numbers check fencing numbers, the others ignore them.
+std::string WithOrders(std::string config,
+                       size_t engines,
+                       std::string_view adapter);
+
 }  // namespace pomeloring::test
 
 #endif  // POMELORING_TEST_SUPPORT_VIRTUAL_SITE_H_
--- a/tools/run_demo.sh
+++ b/tools/run_demo.sh
@@ -154,6 +154,10 @@
 echo "runs: $(curl -s http://127.0.0.1:19201/counts)"
 curl -s http://127.0.0.1:19201/counts | grep -q '"bottle 4711":1'
 
+echo "== what the engines were ordered, by the instance that orders them"
+for i in 1 2 3; do
+  "$bin/pomeloring-ctl" --admin "127.0.0.1:1840$i" show engines
+done
 echo "== the time line of the stamp"
 request=$(grep -i '^pomeloring-request-id' "$work/head" | tr -d '\r' |
   cut -d' ' -f2 || true)
--- a/tools/run_mutations.py
+++ b/tools/run_mutations.py
@@ -51,6 +51,12 @@
     ("leaves the queue to a dead scheduler", "entry.cc",
      "request.phase == RequestPhase::kAsking && request.holder == instance;",
      "false && request.holder == instance;"),
+    ("leaves an old fencing number in place", "engine_order.cc",
+     "record.must_order = upstream.checks_fencing;",
+     "record.must_order = false;"),
+    ("never reads an engine again", "engine_order.cc",
+     "record->next = record->confirmed ? now + kReadInterval : now;",
+     "record->next = record->confirmed ? now + kReadInterval * 1000 : now;"),
 ]
 
 
