Halve the control bytes: replies in the call, slots told by place

Change: what an ask leads to at once comes back in the reply to its call; running slots name replicas by their place, with a hash of the list, and ride with the next call to that instance. Runs not told of for 5 s, not 3, are forgotten, since a report may now take 2 s.

--- a/src/core/cell.cc
+++ b/src/core/cell.cc
@@ -1,58 +1,26 @@
 #include "core/cell.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
-#include <cmath>
 
-#include "core/rendezvous.h"
+#include "core/cell_capacity.h"
+#include "core/cell_partition.h"
+#include "core/grant_order.h"
+#include "core/held_slots.h"
 
 namespace pomeloring {
 namespace {
 
-constexpr size_t kMostReplicasPerCell = 64;
 // An ask that would wait for more than this share of the time it has is
 // declined at once. A longer queue serves no more; it only makes each start the
 // last possible one, with no slack for prefixes or a slow first token.
 constexpr double kLongestWaitShare = 0.45;
-// An aged ask may overtake at most once in this many frees of a slot.
-constexpr double kFreesPerAgedGrant = 20;
-// A run that an entry no longer tells of is forgotten after this time.
 // Lower tiers wait for this long at the most after a decline: slots that stay
 // idle for callers that may not come back help nobody.
 constexpr Duration kLongestBlock = seconds(2);
-// Of what is served late, one is granted after this many that can still be on
-// time: going in the order of their targets, all would be late.
-constexpr uint32_t kOnTimePerOverdue = 16;
-// How many asks of a flow are looked at for a prefix, and how soon the first
-// must have to start for none to go before it.
-constexpr size_t kLookAhead = 16;
-constexpr Duration kLeastSlack = milliseconds(150);
-constexpr Duration kUnreportedRun = seconds(3);
 constexpr Duration kSweepInterval = milliseconds(500);
 // The limit starts at this share of the configured slots and is learnt.
 constexpr double kFirstLimitShare = 0.5;
 
-uint32_t TotalSlots(const CellState& cell, Time now) {
-  uint32_t slots = 0;
-  for (const Replica& replica : cell.replicas) {
-    if (TakesWork(replica, now)) {
-      slots += static_cast<uint32_t>(replica.limit);
-    }
-  }
-  return slots;
-}
-
-uint32_t TotalFree(const CellState& cell, Time now) {
-  uint32_t free = 0;
-  for (const Replica& replica : cell.replicas) {
-    if (TakesWork(replica, now)) {
-      free += FreeSlots(replica);
-    }
-  }
-  return free;
-}
-
 bool HasReplica(const CellState& cell, const Ask& ask) {
   return std::any_of(
       cell.replicas.begin(), cell.replicas.end(), [&](const Replica& replica) {
@@ -62,44 +30,6 @@
       });
 }
 
-uint32_t ReservedAbove(const CellState& cell, Tier tier, uint32_t slots) {
-  const auto rank = std::find(cell.tiers.begin(), cell.tiers.end(), tier) -
-                    cell.tiers.begin();
-  const double share =
-      cell.settings.reserved_share_per_tier * static_cast<double>(rank);
-  const auto reserved =
-      static_cast<uint32_t>(std::ceil(share * static_cast<double>(slots)));
-  // A small cell must not be closed to its lowest tier.
-  return slots < 8 ? 0 : std::min(reserved, slots / 4);
-}
-
-Duration TimeToDrain(const CellState& cell, size_t asks, Time now) {
-  // While the cell is not full, slots come free only as fast as requests come
-  // in; the slots and the mean hold time tell what it can do.
-  const double mean_hold = MeanHold(cell.estimate);
-  const double full_rate =
-      mean_hold <= 0 ? 0 : TotalSlots(cell, now) / mean_hold;
-  const double rate = std::max(FreeRate(cell.estimate), full_rate);
-  const uint32_t free = TotalFree(cell, now);
-  if (asks <= free || rate <= 0) {
-    return Duration{0};
-  }
-  const double wait_seconds = static_cast<double>(asks - free) / rate;
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(std::min(wait_seconds, 3600.0)));
-}
-
-// Spread over twice the time that the queue needs, so that callers do not come
-// back in one wave.
-Duration RetryAfter(CellState& cell, Time now) {
-  const Duration drain = TimeToDrain(cell, cell.queue.asks.size() + 1, now);
-  const Duration base = std::clamp(drain, cell.settings.least_retry_after,
-                                   cell.settings.longest_retry_after);
-  const auto spread = static_cast<int64_t>(NextRandom(cell.random) %
-                                           static_cast<uint64_t>(base.count()));
-  return base + Duration{spread};
-}
-
 void NoteCapacityDecline(CellState& cell, Tier tier, Time due, Time now) {
   Time& until = cell.no_lower_until[tier];
   until = std::max(until, std::min(due, now + kLongestBlock));
@@ -162,193 +92,6 @@
   return wait > longest;
 }
 
-bool IsBlockedByHigher(const CellState& cell, Tier tier, Time now) {
-  for (const auto& [higher, until] : cell.no_lower_until) {
-    if (higher >= tier) {
-      return false;
-    }
-    if (now < until) {
-      return true;
-    }
-  }
-  return false;
-}
-
-// True if every ask of a tier above `tier` still starts in time when one slot
-// goes to `tier` now.
-bool HigherTiersHaveSlack(const CellState& cell, Tier tier, Time now) {
-  size_t ahead = 1;
-  for (const auto& [other, waiting] : cell.queue.tiers) {
-    if (other >= tier) {
-      break;
-    }
-    ahead += waiting.by_start.size();
-    const Time first = waiting.by_start.begin()->first;
-    // Twice the time to serve them all: the estimate may be off.
-    if (now + 2 * TimeToDrain(cell, ahead, now) > first) {
-      return false;
-    }
-  }
-  return true;
-}
-
-// An ask that has waited for long may overtake higher tiers, but only while
-// that merely delays them: it never makes one of them late.
-const WaitingAsk* NextAged(const CellState& cell, Time now) {
-  const double rate = FreeRate(cell.estimate);
-  const auto pause = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(kFreesPerAgedGrant / std::max(rate, 0.1)));
-  if (cell.queue.tiers.size() < 2 || now - cell.last_aged_grant < pause) {
-    return nullptr;
-  }
-  for (auto it = cell.queue.tiers.rbegin(); it != cell.queue.tiers.rend();
-       ++it) {
-    const WaitingAsk& first =
-        cell.queue.asks.at(it->second.by_start.begin()->second);
-    const bool may_overtake = now >= first.aged_at &&
-                              !IsBlockedByHigher(cell, first.tier, now) &&
-                              HigherTiersHaveSlack(cell, first.tier, now);
-    if (may_overtake) {
-      return &first;
-    }
-  }
-  return nullptr;
-}
-
-CellReply MakeGrant(CellState& cell,
-                    const WaitingAsk& waiting,
-                    uint32_t replica,
-                    Time now) {
-  cell.grants[waiting.ask.attempt] = {waiting.entry, replica,
-                                      waiting.ask.request_class, now};
-  ++cell.replicas[replica].granted;
-  RememberPrefix(cell.replicas[replica], waiting.ask.prefix_hash);
-  ChargeFlow(cell.queue, waiting,
-             MeanHoldOf(cell.estimate, waiting.ask.request_class), now);
-  return {waiting.entry, Granted{waiting.ask.attempt, cell.id,
-                                 cell.replicas[replica].upstream.name}};
-}
-
-bool GrantIfPossible(CellState& cell,
-                     const WaitingAsk& candidate,
-                     CellReplies& replies,
-                     Time now) {
-  const std::optional<uint32_t> replica = ChooseReplica(
-      cell.replicas, candidate.ask.prefix_hash, candidate.ask.excluded, now);
-  if (!replica) {
-    return false;
-  }
-  const std::optional<WaitingAsk> waiting =
-      RemoveAsk(cell.queue, candidate.ask.attempt);
-  replies.push_back(MakeGrant(cell, *waiting, *replica, now));
-  return true;
-}
-
-bool HasFreeReplicaWithPrefix(const CellState& cell,
-                              uint64_t prefix,
-                              Time now) {
-  return std::any_of(
-      cell.replicas.begin(), cell.replicas.end(), [&](const Replica& replica) {
-        return TakesWork(replica, now) && FreeSlots(replica) > 0 &&
-               HasPrefix(replica, prefix);
-      });
-}
-
-// In a full cell slots come free one at a time, so that the first ask has no
-// choice of replica. Of the first few, one whose prefix the free replica keeps
-// goes before it, unless the first must start now.
-const WaitingAsk* NextWithPrefix(const CellState& cell,
-                                 const TierQueue& waiting,
-                                 const WaitingAsk* next,
-                                 Time now) {
-  if (next->ask.prefix_hash == 0 || next->latest_start - now < kLeastSlack ||
-      HasFreeReplicaWithPrefix(cell, next->ask.prefix_hash, now)) {
-    return next;
-  }
-  const Flow flow{next->ask.account, next->ask.request_class};
-  size_t looked_at = 0;
-  for (const AskKey& key : waiting.flows.at(flow)) {
-    const WaitingAsk& candidate = cell.queue.asks.at(key.second);
-    if (HasFreeReplicaWithPrefix(cell, candidate.ask.prefix_hash, now)) {
-      return &candidate;
-    }
-    if (++looked_at == kLookAhead) {
-      break;
-    }
-  }
-  return next;
-}
-
-bool GrantNext(CellState& cell, CellReplies& replies, Time now) {
-  const uint32_t free = TotalFree(cell, now);
-  if (free == 0 || cell.queue.tiers.empty()) {
-    return false;
-  }
-  if (const WaitingAsk* aged = NextAged(cell, now)) {
-    if (GrantIfPossible(cell, *aged, replies, now)) {
-      cell.last_aged_grant = now;
-      return true;
-    }
-  }
-  const uint32_t slots = TotalSlots(cell, now);
-  for (const auto& [tier, waiting] : cell.queue.tiers) {
-    const bool may_take = free > ReservedAbove(cell, tier, slots) &&
-                          !IsBlockedByHigher(cell, tier, now);
-    if (!may_take) {
-      return false;
-    }
-    uint32_t& on_time_grants = cell.on_time_grants[tier];
-    const bool overdue_first = on_time_grants >= kOnTimePerOverdue;
-    const WaitingAsk* next = NextWithPrefix(
-        cell, waiting, NextOfTier(cell.queue, tier, overdue_first, now), now);
-    const bool is_overdue = next->latest_start < now;
-    if (GrantIfPossible(cell, *next, replies, now)) {
-      on_time_grants = is_overdue || overdue_first ? 0 : on_time_grants + 1;
-      return true;
-    }
-    // Only asks that exclude the free replicas get here; a lower tier may use
-    // what they can't.
-  }
-  return false;
-}
-
-void GrantAll(CellState& cell, CellReplies& replies, Time now) {
-  while (GrantNext(cell, replies, now)) {
-  }
-}
-
-void EndGrant(CellState& cell, const AttemptId& attempt) {
-  const auto it = cell.grants.find(attempt);
-  if (it == cell.grants.end()) {
-    return;
-  }
-  uint32_t& granted = cell.replicas[it->second.replica].granted;
-  granted -= granted > 0 ? 1 : 0;
-  cell.grants.erase(it);
-}
-
-// Ends a run that another scheduler granted and `entry` told of.
-void EndInherited(Replica& replica, const InstanceName& entry) {
-  const auto it = replica.inherited.find(entry);
-  if (it == replica.inherited.end()) {
-    return;
-  }
-  --it->second;
-  if (it->second == 0) {
-    replica.inherited.erase(it);
-  }
-}
-
-std::optional<uint32_t> IndexOf(const CellState& cell,
-                                const UpstreamName& name) {
-  for (uint32_t i = 0; i < cell.replicas.size(); ++i) {
-    if (cell.replicas[i].upstream.name == name) {
-      return i;
-    }
-  }
-  return std::nullopt;
-}
-
 void GiveUpLate(CellState& cell, CellReplies& replies, Time now) {
   std::vector<AttemptId> late;
   for (const auto& [tier, waiting] : cell.queue.tiers) {
@@ -377,29 +120,6 @@
   }
 }
 
-// An entry tells every second of what it runs in a cell, as long as it runs
-// anything there. A grant that was lost on its way to an entry that runs
-// nothing else would otherwise be held for ever.
-void SweepUnreported(CellState& cell, Time now) {
-  const auto is_silent = [&](const InstanceName& entry) {
-    const auto it = cell.last_report.find(entry);
-    return it == cell.last_report.end() || now - it->second > kUnreportedRun;
-  };
-  std::vector<AttemptId> lost;
-  for (const auto& [attempt, grant] : cell.grants) {
-    if (now - grant.since > kUnreportedRun && is_silent(grant.entry)) {
-      lost.push_back(attempt);
-    }
-  }
-  for (const AttemptId& attempt : lost) {
-    EndGrant(cell, attempt);
-  }
-  for (Replica& replica : cell.replicas) {
-    std::erase_if(replica.inherited,
-                  [&](const auto& entry) { return is_silent(entry.first); });
-  }
-}
-
 // Asks whose last upstream has left while they waited are answered at once.
 void GiveUpWithoutUpstream(CellState& cell, CellReplies& replies, Time now) {
   std::vector<AttemptId> hopeless;
@@ -496,37 +216,6 @@
   return replies;
 }
 
-// Grants of one entry at one replica, the oldest first.
-using KnownGrants = std::vector<std::pair<Time, AttemptId>>;
-
-// Returns the grants of `entry` by replica, in one pass over all grants.
-std::vector<KnownGrants> GrantsOf(const CellState& cell,
-                                  const InstanceName& entry) {
-  std::vector<KnownGrants> known(cell.replicas.size());
-  for (const auto& [attempt, grant] : cell.grants) {
-    if (grant.entry == entry) {
-      known[grant.replica].emplace_back(grant.since, attempt);
-    }
-  }
-  for (KnownGrants& grants : known) {
-    std::sort(grants.begin(), grants.end());
-  }
-  return known;
-}
-
-// Grants that are old enough to have been told of, but were not, were lost on
-// the way back: the oldest are forgotten.
-void ForgetLost(CellState& cell,
-                const KnownGrants& known,
-                uint32_t reported,
-                Time now) {
-  for (size_t k = 0; k + reported < known.size(); ++k) {
-    if (now - known[k].first > kUnreportedRun) {
-      EndGrant(cell, known[k].second);
-    }
-  }
-}
-
 }  // namespace
 
 void ConfigureCell(CellState& cell,
@@ -545,6 +234,7 @@
   if (!HasSameReplicas(cell, replicas)) {
     RebuildReplicas(cell, replicas);
   }
+  cell.replicas_hash = HashReplicas(replicas);
   for (size_t i = 0; i < replicas.size(); ++i) {
     cell.replicas[i].upstream = replicas[i];
     cell.replicas[i].leaving = leaving.contains(replicas[i].name);
@@ -610,26 +300,11 @@
 }
 
 CellReplies HandleRunningSlots(CellState& cell,
+                               const InstanceName& entry,
                                const RunningSlots& running,
                                Time now) {
-  cell.last_report[running.entry] = now;
-  const std::vector<KnownGrants> known = GrantsOf(cell, running.entry);
-  std::vector<uint32_t> reported(cell.replicas.size(), 0);
-  for (const RunningCount& count : running.counts) {
-    if (const auto index = IndexOf(cell, count.upstream)) {
-      reported[*index] = count.running;
-    }
-  }
-  for (size_t i = 0; i < cell.replicas.size(); ++i) {
-    ForgetLost(cell, known[i], reported[i], now);
-    Replica& replica = cell.replicas[i];
-    replica.inherited.erase(running.entry);
-    if (reported[i] > known[i].size()) {
-      replica.inherited[running.entry] =
-          reported[i] - static_cast<uint32_t>(known[i].size());
-    }
-  }
   CellReplies replies;
+  ReconcileRunning(cell, entry, running, now);
   GrantAll(cell, replies, now);
   return replies;
 }
@@ -638,19 +313,7 @@
   for (const AttemptId& attempt : AsksOf(cell.queue, entry)) {
     RemoveAsk(cell.queue, attempt);
   }
-  std::vector<AttemptId> granted;
-  for (const auto& [attempt, grant] : cell.grants) {
-    if (grant.entry == entry) {
-      granted.push_back(attempt);
-    }
-  }
-  for (const AttemptId& attempt : granted) {
-    EndGrant(cell, attempt);
-  }
-  for (Replica& replica : cell.replicas) {
-    replica.inherited.erase(entry);
-  }
-  cell.last_report.erase(entry);
+  DropHeldBy(cell, entry);
   CellReplies replies;
   GrantAll(cell, replies, now);
   return replies;
@@ -680,24 +343,4 @@
   return replies;
 }
 
-CellId CellOf(const Service& service, const Upstream& upstream) {
-  size_t in_region = 0;
-  for (const Upstream& other : service.upstreams) {
-    in_region += other.region == upstream.region ? 1 : 0;
-  }
-  const size_t cells =
-      (in_region + kMostReplicasPerCell - 1) / kMostReplicasPerCell;
-  const size_t bucket = RendezvousBucket(upstream.name.value, cells);
-  return {fmt::format("{}/{}/{}", service.name.value, upstream.region.value,
-                      bucket)};
-}
-
-std::map<CellId, std::vector<Upstream>> CellsOf(const Service& service) {
-  std::map<CellId, std::vector<Upstream>> cells;
-  for (const Upstream& upstream : service.upstreams) {
-    cells[CellOf(service, upstream)].push_back(upstream);
-  }
-  return cells;
-}
-
 }  // namespace pomeloring
--- /dev/null
+++ b/src/core/cell_capacity.cc
@@ -0,0 +1,54 @@
+#include "core/cell_capacity.h"
+
+#include <algorithm>
+
+namespace pomeloring {
+
+uint32_t TotalSlots(const CellState& cell, Time now) {
+  uint32_t slots = 0;
+  for (const Replica& replica : cell.replicas) {
+    if (TakesWork(replica, now)) {
+      slots += static_cast<uint32_t>(replica.limit);
+    }
+  }
+  return slots;
+}
+
+uint32_t TotalFree(const CellState& cell, Time now) {
+  uint32_t free = 0;
+  for (const Replica& replica : cell.replicas) {
+    if (TakesWork(replica, now)) {
+      free += FreeSlots(replica);
+    }
+  }
+  return free;
+}
+
+Duration TimeToDrain(const CellState& cell, size_t asks, Time now) {
+  // While the cell is not full, slots come free only as fast as requests come
+  // in; the slots and the mean hold time tell what it can do.
+  const double mean_hold = MeanHold(cell.estimate);
+  const double full_rate =
+      mean_hold <= 0 ? 0 : TotalSlots(cell, now) / mean_hold;
+  const double rate = std::max(FreeRate(cell.estimate), full_rate);
+  const uint32_t free = TotalFree(cell, now);
+  if (asks <= free || rate <= 0) {
+    return Duration{0};
+  }
+  const double wait_seconds = static_cast<double>(asks - free) / rate;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::min(wait_seconds, 3600.0)));
+}
+
+// Spread over twice the time that the queue needs, so that callers do not come
+// back in one wave.
+Duration RetryAfter(CellState& cell, Time now) {
+  const Duration drain = TimeToDrain(cell, cell.queue.asks.size() + 1, now);
+  const Duration base = std::clamp(drain, cell.settings.least_retry_after,
+                                   cell.settings.longest_retry_after);
+  const auto spread = static_cast<int64_t>(NextRandom(cell.random) %
+                                           static_cast<uint64_t>(base.count()));
+  return base + Duration{spread};
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/core/cell_partition.h
@@ -0,0 +1,26 @@
+// Defines the partition of a service's upstreams into cells.
+
+#ifndef POMELORING_CORE_CELL_PARTITION_H_
+#define POMELORING_CORE_CELL_PARTITION_H_
+
+#include <map>
+#include <span>
+#include <vector>
+
+#include "core/configuration.h"
+
+namespace pomeloring {
+
+// Returns the name of the cell that `upstream` belongs to.
+CellId CellOf(const Service& service, const Upstream& upstream);
+
+// Returns the cells of a service with their replicas.
+std::map<CellId, std::vector<Upstream>> CellsOf(const Service& service);
+
+// Returns a hash of the replicas' names in their order. Instances that agree on
+// it may name a replica by its place.
+uint32_t HashReplicas(std::span<const Upstream> replicas);
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_CORE_CELL_PARTITION_H_
--- a/src/core/cluster_view.cc
+++ b/src/core/cluster_view.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "core/cell.h"
+#include "core/cell_partition.h"
 #include "core/rendezvous.h"
 
 namespace pomeloring {
@@ -37,6 +37,7 @@
     if (cell.schedulers.empty()) {
       cell.schedulers = {view.self.name};
     }
+    cell.replicas_hash = HashReplicas(upstreams);
     cell.upstreams = std::move(upstreams);
     view.cells_of_service[service.name].push_back(id);
     view.cells[id] = std::move(cell);
--- a/src/core/cluster_view.h
+++ b/src/core/cluster_view.h
@@ -21,6 +21,8 @@
   ServiceName service;
   RegionName region;
   std::vector<Upstream> upstreams;
+  uint32_t replicas_hash = 0;  // See HashReplicas().
+
   // The scheduler and its successor, of the live members of the cell's region;
   // of all live members where the region has none.
   std::vector<InstanceName> schedulers;
--- /dev/null
+++ b/src/core/held_slots.cc
@@ -0,0 +1,142 @@
+#include "core/held_slots.h"
+
+#include <algorithm>
+
+namespace pomeloring {
+namespace {
+
+// A run that an entry has not told of for this long is forgotten. Reports ride
+// with other messages and come every 2 s at the latest; one may be lost.
+constexpr Duration kUnreportedRun = seconds(5);
+
+using KnownGrants = std::vector<std::pair<Time, AttemptId>>;
+
+// Returns the grants of `entry` by replica, in one pass over all grants.
+std::vector<KnownGrants> GrantsOf(const CellState& cell,
+                                  const InstanceName& entry) {
+  std::vector<KnownGrants> known(cell.replicas.size());
+  for (const auto& [attempt, grant] : cell.grants) {
+    if (grant.entry == entry) {
+      known[grant.replica].emplace_back(grant.since, attempt);
+    }
+  }
+  for (KnownGrants& grants : known) {
+    std::sort(grants.begin(), grants.end());
+  }
+  return known;
+}
+
+// Grants that are old enough to have been told of, but were not, were lost on
+// the way back: the oldest are forgotten.
+void ForgetLost(CellState& cell,
+                const KnownGrants& known,
+                uint32_t reported,
+                Time now) {
+  for (size_t k = 0; k + reported < known.size(); ++k) {
+    if (now - known[k].first > kUnreportedRun) {
+      EndGrant(cell, known[k].second);
+    }
+  }
+}
+
+}  // namespace
+
+std::optional<uint32_t> IndexOf(const CellState& cell,
+                                const UpstreamName& name) {
+  for (uint32_t i = 0; i < cell.replicas.size(); ++i) {
+    if (cell.replicas[i].upstream.name == name) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+void EndGrant(CellState& cell, const AttemptId& attempt) {
+  const auto it = cell.grants.find(attempt);
+  if (it == cell.grants.end()) {
+    return;
+  }
+  uint32_t& granted = cell.replicas[it->second.replica].granted;
+  granted -= granted > 0 ? 1 : 0;
+  cell.grants.erase(it);
+}
+
+void EndInherited(Replica& replica, const InstanceName& entry) {
+  const auto it = replica.inherited.find(entry);
+  if (it == replica.inherited.end()) {
+    return;
+  }
+  --it->second;
+  if (it->second == 0) {
+    replica.inherited.erase(it);
+  }
+}
+
+void ReconcileRunning(CellState& cell,
+                      const InstanceName& entry,
+                      const RunningSlots& running,
+                      Time now) {
+  cell.last_report[entry] = now;
+  // The entry has another configuration yet, or this cell has: its numbers name
+  // other replicas here. That it is there is known all the same.
+  if (running.replicas_hash != cell.replicas_hash) {
+    return;
+  }
+  const std::vector<KnownGrants> known = GrantsOf(cell, entry);
+  std::vector<uint32_t> reported(cell.replicas.size(), 0);
+  for (const RunningCount& count : running.counts) {
+    if (count.replica < reported.size()) {
+      reported[count.replica] = count.running;
+    }
+  }
+  for (size_t i = 0; i < cell.replicas.size(); ++i) {
+    ForgetLost(cell, known[i], reported[i], now);
+    Replica& replica = cell.replicas[i];
+    replica.inherited.erase(entry);
+    if (reported[i] > known[i].size()) {
+      replica.inherited[entry] =
+          reported[i] - static_cast<uint32_t>(known[i].size());
+    }
+  }
+}
+
+// An entry tells every second of what it runs in a cell, as long as it runs
+// anything there. A grant that was lost on its way to an entry that runs
+// nothing else would otherwise be held for ever.
+void SweepUnreported(CellState& cell, Time now) {
+  const auto is_silent = [&](const InstanceName& entry) {
+    const auto it = cell.last_report.find(entry);
+    return it == cell.last_report.end() || now - it->second > kUnreportedRun;
+  };
+  std::vector<AttemptId> lost;
+  for (const auto& [attempt, grant] : cell.grants) {
+    if (now - grant.since > kUnreportedRun && is_silent(grant.entry)) {
+      lost.push_back(attempt);
+    }
+  }
+  for (const AttemptId& attempt : lost) {
+    EndGrant(cell, attempt);
+  }
+  for (Replica& replica : cell.replicas) {
+    std::erase_if(replica.inherited,
+                  [&](const auto& entry) { return is_silent(entry.first); });
+  }
+}
+
+void DropHeldBy(CellState& cell, const InstanceName& entry) {
+  std::vector<AttemptId> granted;
+  for (const auto& [attempt, grant] : cell.grants) {
+    if (grant.entry == entry) {
+      granted.push_back(attempt);
+    }
+  }
+  for (const AttemptId& attempt : granted) {
+    EndGrant(cell, attempt);
+  }
+  for (Replica& replica : cell.replicas) {
+    replica.inherited.erase(entry);
+  }
+  cell.last_report.erase(entry);
+}
+
+}  // namespace pomeloring
--- a/src/core/instance_peers.cc
+++ b/src/core/instance_peers.cc
@@ -112,7 +112,7 @@
     } else if (const auto* report = std::get_if<SlotReport>(&message)) {
       replies = HandleSlotReport(cell, from, *report, now);
     } else if (const auto* running = std::get_if<RunningSlots>(&message)) {
-      replies = HandleRunningSlots(cell, *running, now);
+      replies = HandleRunningSlots(cell, from, *running, now);
     }
   }
   SendReplies(std::move(replies), *view, now, out);
--- a/src/core/instance_time.cc
+++ b/src/core/instance_time.cc
@@ -12,6 +12,19 @@
 // every instance appends one.
 constexpr Duration kSnapshotSpread = seconds(10);
 
+RunningSlots MakeRunningSlots(
+    const CellView& cell,
+    const std::map<UpstreamName, uint32_t>& running_at) {
+  RunningSlots running{cell.id, cell.replicas_hash, {}};
+  for (uint32_t i = 0; i < cell.upstreams.size(); ++i) {
+    const auto count = running_at.find(cell.upstreams[i].name);
+    if (count != running_at.end()) {
+      running.counts.push_back({i, count->second});
+    }
+  }
+  return running;
+}
+
 }  // namespace
 
 Actions Instance::HandleTick(Time now) {
@@ -138,10 +151,7 @@
     if (cell == view->cells.end()) {
       continue;
     }
-    RunningSlots running{m_settings.self.name, id, {}};
-    for (const auto& [upstream, count] : upstreams) {
-      running.counts.push_back({upstream, count});
-    }
+    const RunningSlots running = MakeRunningSlots(cell->second, upstreams);
     for (const InstanceName& scheduler : cell->second.schedulers) {
       const auto member = view->live.find(scheduler);
       const std::string address =
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -80,15 +80,15 @@
 };
 
 struct RunningCount {
-  UpstreamName upstream;
+  uint32_t replica = 0;  // Its place among the cell's upstreams.
   uint32_t running = 0;
 };
 
 // What an entry runs in a cell: sent from time to time to the scheduler and
 // its successor, so that the successor starts warm and lost reports are found.
 struct RunningSlots {
-  InstanceName entry;
   CellId cell;
+  uint32_t replicas_hash = 0;  // Of the configuration that gives the places.
   std::vector<RunningCount> counts;
 };
 
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -96,11 +96,9 @@
     }
     PeerLinkHandlers handlers;
     handlers.on_messages = [this](const InstanceName& from,
-                                  std::vector<SlotMessage> messages,
+                                  const std::vector<SlotMessage>& messages,
                                   HybridTime stamp) {
-      for (const SlotMessage& message : messages) {
-        Run(m_instance->HandleSlotMessage(from, message, stamp, Now()));
-      }
+      return TakeMessages(from, messages, stamp);
     };
     handlers.configuration = [this] {
       return m_instance->ConfigurationInForce();
@@ -195,8 +193,37 @@
     }
   }
 
+  // What goes back to `from` rides in the reply to its call; the rest is
+  // carried out.
+  SlotReplies TakeMessages(const InstanceName& from,
+                           const std::vector<SlotMessage>& messages,
+                           HybridTime stamp) {
+    SlotReplies replies;
+    for (const SlotMessage& message : messages) {
+      Actions actions =
+          m_instance->HandleSlotMessage(from, message, stamp, Now());
+      for (Action& action : actions) {
+        auto* send = std::get_if<SendSlotMessage>(&action);
+        if (send != nullptr && send->to == from) {
+          replies.messages.push_back(std::move(send->message));
+        } else {
+          std::visit([this](auto& typed) { Do(typed); }, action);
+        }
+      }
+    }
+    replies.stamp = m_instance->Events().Last();
+    return replies;
+  }
+
   void Do(SendSlotMessage& send) {
-    if (!send.link_address.empty()) {
+    if (send.link_address.empty()) {
+      return;
+    }
+    // What an entry runs is told every second; nothing waits for it.
+    if (std::holds_alternative<RunningSlots>(send.message)) {
+      m_link->SendLater(send.link_address, std::move(send.message),
+                        m_instance->Events().Last());
+    } else {
       m_link->Send(send.link_address, std::move(send.message),
                    m_instance->Events().Last());
     }
--- a/src/link/codec.cc
+++ b/src/link/codec.cc
@@ -64,12 +64,11 @@
   void operator()(const SchedulerAlive&) const { out.mutable_alive(); }
   void operator()(const RunningSlots& running) const {
     wire::RunningSlots& to = *out.mutable_running();
-    to.set_entry(running.entry.value);
     to.set_cell(running.cell.value);
+    to.set_replicas_hash(running.replicas_hash);
     for (const RunningCount& count : running.counts) {
-      wire::RunningCount& added = *to.add_counts();
-      added.set_upstream(count.upstream.value);
-      added.set_running(count.running);
+      to.add_counts(count.replica);
+      to.add_counts(count.running);
     }
   }
 };
@@ -105,9 +104,9 @@
 }
 
 RunningSlots DecodeRunning(const wire::RunningSlots& from) {
-  RunningSlots running{{from.entry()}, {from.cell()}, {}};
-  for (const wire::RunningCount& count : from.counts()) {
-    running.counts.push_back({{count.upstream()}, count.running()});
+  RunningSlots running{{from.cell()}, from.replicas_hash(), {}};
+  for (int i = 0; i + 1 < from.counts_size(); i += 2) {
+    running.counts.push_back({from.counts(i), from.counts(i + 1)});
   }
   return running;
 }
--- a/src/link/peer_link.cc
+++ b/src/link/peer_link.cc
@@ -17,26 +17,43 @@
 constexpr std::chrono::seconds kFetchDeadline{3};
 constexpr size_t kMostQueued = 20'000;
 constexpr size_t kMostPerBatch = 256;
+// So many messages that ride with the next call make one by themselves.
+constexpr size_t kMostRiding = 2;
 // Calls under way to one peer: more than one, so that a message does not wait
 // for the round trip of the one before it.
 constexpr int kMostCallsPerPeer = 4;
 
+std::vector<SlotMessage> DecodeAll(
+    const google::protobuf::RepeatedPtrField<wire::SlotMessage>& messages) {
+  std::vector<SlotMessage> all;
+  for (const wire::SlotMessage& message : messages) {
+    if (auto decoded = Decode(message)) {
+      all.push_back(std::move(*decoded));
+    }
+  }
+  return all;
+}
+
 class Service final : public wire::InstanceLink::CallbackService {
  public:
-  explicit Service(PeerLinkHandlers handlers)
-      : m_handlers(std::move(handlers)) {}
-
-  grpc::ServerUnaryReactor* Deliver(grpc::CallbackServerContext* context,
-                                    const wire::SlotBatch* batch,
-                                    wire::SlotBatchReceived*) override {
-    std::vector<SlotMessage> messages;
-    for (const wire::SlotMessage& message : batch->messages()) {
-      if (auto decoded = Decode(message)) {
-        messages.push_back(std::move(*decoded));
-      }
+  Service(InstanceName self, PeerLinkHandlers handlers)
+      : m_self(std::move(self)), m_handlers(std::move(handlers)) {}
+
+  grpc::ServerUnaryReactor* Deliver(
+      grpc::CallbackServerContext* context,
+      const wire::SlotBatch* batch,
+      wire::SlotBatchReceived* received) override {
+    const SlotReplies replies =
+        m_handlers.on_messages({batch->from()}, DecodeAll(batch->messages()),
+                               {batch->stamp_us(), batch->stamp_counter()});
+    if (!replies.messages.empty()) {
+      received->set_from(m_self.value);
+      received->set_stamp_us(replies.stamp.micros);
+      received->set_stamp_counter(replies.stamp.counter);
+    }
+    for (const SlotMessage& reply : replies.messages) {
+      Encode(reply, *received->add_replies());
     }
-    m_handlers.on_messages({batch->from()}, std::move(messages),
-                           {batch->stamp_us(), batch->stamp_counter()});
     grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
     reactor->Finish(grpc::Status::OK);
     return reactor;
@@ -55,6 +72,7 @@
   }
 
  private:
+  const InstanceName m_self;
   const PeerLinkHandlers m_handlers;
 };
 
@@ -119,8 +137,14 @@
 // The link to one other instance.
 class Peer : public std::enable_shared_from_this<Peer> {
  public:
-  Peer(InstanceName self, std::string address, CallGate& gate)
-      : m_self(std::move(self)), m_address(std::move(address)), m_gate(gate) {
+  Peer(InstanceName self,
+       std::string address,
+       const PeerLinkHandlers& handlers,
+       CallGate& gate)
+      : m_self(std::move(self)),
+        m_address(std::move(address)),
+        m_handlers(handlers),
+        m_gate(gate) {
     Reconnect();
   }
 
@@ -138,6 +162,20 @@
     Start(call);
   }
 
+  void SendLater(SlotMessage message, HybridTime stamp) {
+    std::shared_ptr<DeliverCall> call;
+    {
+      const std::lock_guard lock(m_mutex);
+      const bool has_waited = !m_riding.empty();
+      m_riding.push_back(std::move(message));
+      m_stamp = std::max(m_stamp, stamp);
+      if (has_waited) {
+        call = NextCall();
+      }
+    }
+    Start(call);
+  }
+
   void Fetch(const std::function<void(ConfigInForce)>& on_configuration) {
     if (!m_gate.Enter()) {
       return;
@@ -169,9 +207,12 @@
 
   // Called with the lock held.
   std::shared_ptr<DeliverCall> NextCall() {
-    if (m_queue.empty() || m_calls >= kMostCallsPerPeer) {
+    if ((m_queue.empty() && m_riding.size() < kMostRiding) ||
+        m_calls >= kMostCallsPerPeer) {
       return nullptr;
     }
+    std::move(m_riding.begin(), m_riding.end(), std::back_inserter(m_queue));
+    m_riding.clear();
     auto call = std::make_shared<DeliverCall>();
     call->batch.set_from(m_self.value);
     call->batch.set_stamp_us(m_stamp.micros);
@@ -201,6 +242,9 @@
         &call->context, &call->batch, &call->received,
         [self = shared_from_this(), call, stub](const grpc::Status& status) {
           self->Done(call, status.ok());
+          if (status.ok()) {
+            self->TakeReplies(call->received);
+          }
           self->m_gate.Leave();
         });
   }
@@ -225,14 +269,28 @@
     Start(next);
   }
 
+  void TakeReplies(const wire::SlotBatchReceived& received) {
+    if (received.replies().empty()) {
+      return;
+    }
+    const SlotReplies replies =
+        m_handlers.on_messages({received.from()}, DecodeAll(received.replies()),
+                               {received.stamp_us(), received.stamp_counter()});
+    for (const SlotMessage& reply : replies.messages) {
+      Send(reply, replies.stamp);
+    }
+  }
+
   const InstanceName m_self;
   const std::string m_address;
+  const PeerLinkHandlers& m_handlers;
   CallGate& m_gate;
   std::mutex m_mutex;
   std::shared_ptr<wire::InstanceLink::Stub> m_stub;
   int m_generation = 0;
   int m_calls = 0;
   std::deque<SlotMessage> m_queue;
+  std::vector<SlotMessage> m_riding;
   HybridTime m_stamp;
 };
 
@@ -241,7 +299,7 @@
   GrpcPeerLink(InstanceName self, PeerLinkHandlers handlers)
       : m_self(std::move(self)),
         m_handlers(std::move(handlers)),
-        m_service(m_handlers) {}
+        m_service(m_self, m_handlers) {}
 
   ~GrpcPeerLink() override { Shutdown(); }
 
@@ -261,6 +319,12 @@
     PeerAt(address)->Send(std::move(message), stamp);
   }
 
+  void SendLater(const std::string& address,
+                 SlotMessage message,
+                 HybridTime stamp) override {
+    PeerAt(address)->SendLater(std::move(message), stamp);
+  }
+
   void Fetch(const std::string& address) override {
     PeerAt(address)->Fetch(m_handlers.on_configuration);
   }
@@ -279,7 +343,7 @@
     const std::lock_guard lock(m_mutex);
     std::shared_ptr<Peer>& peer = m_peers[address];
     if (peer == nullptr) {
-      peer = std::make_shared<Peer>(m_self, address, m_gate);
+      peer = std::make_shared<Peer>(m_self, address, m_handlers, m_gate);
     }
     return peer;
   }
--- a/src/link/peer_link.h
+++ b/src/link/peer_link.h
@@ -16,11 +16,18 @@
 
 namespace pomeloring {
 
+struct SlotReplies {
+  std::vector<SlotMessage> messages;
+  HybridTime stamp;
+};
+
 // What the link hands up; called on the link's own threads.
 struct PeerLinkHandlers {
-  std::function<void(const InstanceName& from,
-                     std::vector<SlotMessage> messages,
-                     HybridTime stamp)>
+  // Returns what the messages led to for `from`: it goes back in the reply to
+  // the call that brought them.
+  std::function<SlotReplies(const InstanceName& from,
+                            std::vector<SlotMessage> messages,
+                            HybridTime stamp)>
       on_messages;
   std::function<std::optional<ConfigInForce>()> configuration;
   std::function<void(ConfigInForce)> on_configuration;
@@ -37,6 +44,11 @@
   virtual void Send(const std::string& address,
                     SlotMessage message,
                     HybridTime stamp) = 0;
+  // Queues a message that rides with the next call. It goes by itself once
+  // another such message comes before any call.
+  virtual void SendLater(const std::string& address,
+                         SlotMessage message,
+                         HybridTime stamp) = 0;
   // Asks a peer for its configuration; the reply comes to `on_configuration`.
   virtual void Fetch(const std::string& address) = 0;
   virtual void Shutdown() = 0;
--- a/tools/run_mutations.py
+++ b/tools/run_mutations.py
@@ -45,7 +45,7 @@
      "(history.waiting.empty() || history", "(true || history"),
     ("takes over an older state", "config_history.cc",
      "if (!ahead) {", "if (false && !ahead) {"),
-    ("keeps lost grants", "cell.cc",
+    ("keeps lost grants", "held_slots.cc",
      "if (now - grant.since > kUnreportedRun && is_silent(grant.entry)) {",
      "if (false && is_silent(grant.entry)) {"),
     ("leaves the queue to a dead scheduler", "entry.cc",
