--- a/src/ctl/command_line.cc
+++ b/src/ctl/command_line.cc
@@ -15,6 +15,8 @@
     {"json", no_argument, nullptr, 'j'},
     {"request", required_argument, nullptr, 'r'},
     {"kind", required_argument, nullptr, 'k'},
+    {"class", required_argument, nullptr, 'C'},
+    {"last", required_argument, nullptr, 'l'},
     {"format", required_argument, nullptr, 'f'},
     {"wait", required_argument, nullptr, 'w'},
     {"help", no_argument, nullptr, 'h'},
@@ -66,6 +68,8 @@
     "  -c, --change            publish: FILE is a change, not the whole text\n"
     "  -r, --request ID        timeline: only this request\n"
     "  -k, --kind KIND         timeline: only this kind of event\n"
+    "  -C, --class CLASS       timeline: only requests of this class\n"
+    "  -l, --last SECONDS      timeline: only so long before the newest event\n"
     "  -f, --format FORMAT     timeline: text, jsonl or chrome\n"
     "  -w, --wait SECONDS      how long to wait for the outcome (20)\n"
     "  -j, --json              print JSON\n"
@@ -85,7 +89,7 @@
   line.admins = SplitAtCommas(FromEnvironment("POMELORING_ADMIN"));
   line.key = FromEnvironment("POMELORING_ADMIN_KEY");
   int choice = 0;
-  while ((choice = getopt_long(argc, argv, "p:a:b:cjr:k:f:w:hV", kOptions,
+  while ((choice = getopt_long(argc, argv, "p:a:b:cjr:k:C:l:f:w:hV", kOptions,
                                nullptr)) != -1) {
     switch (choice) {
       case 'p':
@@ -112,6 +116,15 @@
       case 'k':
         line.kind = optarg;
         break;
+      case 'C':
+        line.request_class = optarg;
+        break;
+      case 'l':
+        line.last_seconds = ParseNumber(optarg);
+        if (!line.last_seconds) {
+          return CommandLineEnd::kUsage;
+        }
+        break;
       case 'f':
         line.format = optarg;
         break;
--- a/src/ctl/command_line.h
+++ b/src/ctl/command_line.h
@@ -20,6 +20,8 @@
   bool json = false;
   std::string request;  // Filters of the time line.
   std::string kind;
+  std::string request_class;
+  std::optional<uint64_t> last_seconds;
   std::string format = "text";
   int wait_seconds = 20;
 };
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -374,12 +374,19 @@
       continue;
     }
     ++reached;
-    AddEvents(events, *reply, {line.request, line.kind});
+    AddEvents(events, *reply, line.request);
   }
   if (reached == 0) {
     return Fail(kExitUnreachable, "no instance was reached; see --admin");
   }
   SortCausally(events);
+  if (!line.request_class.empty()) {
+    KeepClass(events, line.request_class);
+  }
+  if (line.last_seconds) {
+    KeepLast(events, std::chrono::seconds(*line.last_seconds));
+  }
+  KeepKind(events, line.kind);
   if (line.format == "chrome") {
     fmt::print("{}", WriteChromeTrace(events));
   } else if (line.format == "jsonl" || line.json) {
--- a/src/ctl/timeline_report.cc
+++ b/src/ctl/timeline_report.cc
@@ -6,8 +6,11 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <map>
+#include <set>
 #include <tuple>
 
+#include "core/timeline.h"
+
 namespace pomeloring {
 namespace {
 
@@ -36,7 +39,7 @@
 
 void AddEvents(std::vector<ReportedEvent>& events,
                const json::value& reply,
-               const TimelineFilter& filter) {
+               std::string_view request) {
   const json::object* object = reply.if_object();
   const json::value* list =
       object == nullptr ? nullptr : object->if_contains("events");
@@ -52,10 +55,7 @@
                         TextOf(from, "instance"), TextOf(from, "kind"),
                         TextOf(from, "request"),  TextOf(from, "subject"),
                         TextOf(from, "detail")};
-    const bool passes =
-        (filter.request.empty() || filter.request == event.request) &&
-        (filter.kind.empty() || filter.kind == event.kind);
-    if (passes) {
+    if (request.empty() || request == event.request) {
       events.push_back(std::move(event));
     }
   }
@@ -69,6 +69,38 @@
                    });
 }
 
+void KeepClass(std::vector<ReportedEvent>& events,
+               std::string_view request_class) {
+  std::set<std::string> requests;
+  for (const ReportedEvent& event : events) {
+    if (event.kind == ToString(EventKind::kRequestAccepted) &&
+        event.subject == request_class) {
+      requests.insert(event.request);
+    }
+  }
+  std::erase_if(events, [&](const ReportedEvent& event) {
+    return !requests.contains(event.request);
+  });
+}
+
+void KeepLast(std::vector<ReportedEvent>& events, std::chrono::seconds length) {
+  int64_t newest = 0;
+  for (const ReportedEvent& event : events) {
+    newest = std::max(newest, event.micros);
+  }
+  const int64_t first =
+      newest - std::chrono::duration_cast<Duration>(length).count();
+  std::erase_if(
+      events, [&](const ReportedEvent& event) { return event.micros < first; });
+}
+
+void KeepKind(std::vector<ReportedEvent>& events, std::string_view kind) {
+  if (!kind.empty()) {
+    std::erase_if(
+        events, [&](const ReportedEvent& event) { return event.kind != kind; });
+  }
+}
+
 std::string WriteText(std::span<const ReportedEvent> events) {
   std::string out;
   for (const ReportedEvent& event : events) {
--- a/src/ctl/timeline_report.h
+++ b/src/ctl/timeline_report.h
@@ -5,8 +5,11 @@
 #define POMELORING_CTL_TIMELINE_REPORT_H_
 
 #include <boost/json/value.hpp>
+#include <chrono>
+
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pomeloring {
@@ -21,19 +24,25 @@
   std::string detail;
 };
 
-struct TimelineFilter {
-  std::string request;  // Empty: all.
-  std::string kind;     // Empty: all.
-};
-
-// Adds the events of one instance's reply that pass `filter`.
+// Adds the events of one instance's reply; only those of `request` unless that
+// is empty.
 void AddEvents(std::vector<ReportedEvent>& events,
                const boost::json::value& reply,
-               const TimelineFilter& filter);
+               std::string_view request);
 
 // Orders by the hybrid clock: no event stands before one that caused it.
 void SortCausally(std::vector<ReportedEvent>& events);
 
+// Keeps the events of requests that were accepted in this class.
+void KeepClass(std::vector<ReportedEvent>& events,
+               std::string_view request_class);
+
+// Keeps what is at most `length` older than the newest event.
+void KeepLast(std::vector<ReportedEvent>& events, std::chrono::seconds length);
+
+// Keeps the events of one kind; all if `kind` is empty.
+void KeepKind(std::vector<ReportedEvent>& events, std::string_view kind);
+
 std::string WriteText(std::span<const ReportedEvent> events);
 std::string WriteJsonLines(std::span<const ReportedEvent> events);
 std::string WriteChromeTrace(std::span<const ReportedEvent> events);
--- a/tools/run_demo.sh
+++ b/tools/run_demo.sh
@@ -161,7 +161,7 @@
 echo "== the time line of the stamp"
 request=$(grep -i '^pomeloring-request-id' "$work/head" | tr -d '\r' |
   cut -d' ' -f2 || true)
-"$bin/pomeloring-ctl" timeline --kind upstream-started
+"$bin/pomeloring-ctl" timeline --class ledger-stamp --last 60 --kind upstream-started
 "$bin/pomeloring-ctl" timeline ${request:+--request "$request"} | tail -n 12
 
 echo "== stop all instances"
