--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -45,7 +45,7 @@
 // no address answer names it any more.
 constexpr std::chrono::seconds kLeavingSpread{3};
 constexpr std::chrono::milliseconds kLastWrites{200};
-constexpr size_t kLargestDatagram = 64 * 1024;
+constexpr size_t kLargestDatagram = size_t{64} * 1024;
 
 auto Await(error_code& error) {
   return asio::redirect_error(asio::use_awaitable, error);
--- a/src/link/caller_api.cc
+++ b/src/link/caller_api.cc
@@ -22,7 +22,7 @@
 namespace http = boost::beast::http;
 namespace json = boost::json;
 
-constexpr size_t kLargestKeptAnswer = 64 * 1024;
+constexpr size_t kLargestKeptAnswer = size_t{64} * 1024;
 
 // Header fields of a caller that a plain service needs and gets.
 constexpr std::string_view kPassedOn[] = {"Content-Type",    "Accept",
--- a/src/link/clock.cc
+++ b/src/link/clock.cc
@@ -12,9 +12,9 @@
 }  // namespace
 
 Time Now() {
-  static const Anchor anchor;
-  const auto elapsed = std::chrono::steady_clock::now() - anchor.steady;
-  const auto wall = anchor.wall.time_since_epoch() + elapsed;
+  static const Anchor kAnchor;
+  const auto elapsed = std::chrono::steady_clock::now() - kAnchor.steady;
+  const auto wall = kAnchor.wall.time_since_epoch() + elapsed;
   return Time{std::chrono::duration_cast<Duration>(wall)};
 }
 
--- a/src/link/http_client.cc
+++ b/src/link/http_client.cc
@@ -17,7 +17,7 @@
 using boost::system::error_code;
 
 constexpr size_t kMostIdlePerAddress = 256;
-constexpr uint64_t kLargestReply = 64 * 1024 * 1024;
+constexpr uint64_t kLargestReply = uint64_t{64} * 1024 * 1024;
 
 auto Await(error_code& error) {
   return asio::redirect_error(asio::use_awaitable, error);
--- a/src/link/http_server.h
+++ b/src/link/http_server.h
@@ -36,7 +36,7 @@
 
 struct HttpLimits {
   uint32_t header_bytes = 16 * 1024;
-  uint64_t body_bytes = 4 * 1024 * 1024;
+  uint64_t body_bytes = uint64_t{4} * 1024 * 1024;
   std::chrono::seconds read_timeout{10};  // For one whole request.
   std::chrono::seconds idle_timeout{60};  // Between requests.
   std::chrono::seconds write_timeout{20};
--- a/src/link/upstream_call.cc
+++ b/src/link/upstream_call.cc
@@ -23,7 +23,7 @@
 // An upstream that sets this header on an error reply vouches that the request
 // has not been started.
 constexpr std::string_view kNotStartedHeader = "X-Not-Started";
-constexpr uint64_t kLargestAnswer = 64 * 1024 * 1024;
+constexpr uint64_t kLargestAnswer = uint64_t{64} * 1024 * 1024;
 
 auto Await(error_code& error) {
   return asio::redirect_error(asio::use_awaitable, error);
--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -27,7 +27,8 @@
 constexpr std::chrono::milliseconds kHeartbeat{1000};
 
 struct Sequence {
-  explicit Sequence(asio::any_io_executor executor) : changed(executor) {}
+  explicit Sequence(const asio::any_io_executor& executor)
+      : changed(executor) {}
   int priority = 1;
   int64_t next = 0;   // The next token to generate.
   int64_t total = 0;  // Tokens of the whole answer.
--- a/tools/check_style.sh
+++ b/tools/check_style.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Checks format, generated code and the settings page. With --tidy, runs
-# clang-tidy on the core, the platform and pomeloring-ctl as well.
+# clang-tidy on all sources of the libraries, programs and stand-ins as well.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 git ls-files '*.h' '*.cc' | grep -v '/generated/' |
@@ -9,7 +9,7 @@
 tools/generate_wire.sh --check
 if [[ ${1:-} == --tidy ]]; then
   cmake -S . -B build -G Ninja >/dev/null
-  git ls-files 'src/core/*.cc' 'src/ctl/*.cc' 'src/platform/*.cc' |
+  git ls-files 'src/*.cc' 'standins/*.cc' | grep -v '/generated/' |
     xargs -P 8 -n 2 clang-tidy -p build --quiet 2>/dev/null
   echo "clang-tidy: clean"
 fi
