--- a/tools/run_mutations.py
+++ b/tools/run_mutations.py
@@ -73,7 +73,9 @@
     objects.mkdir(exist_ok=True)
     files = sorted((source / "src/core").glob("*.cc")) + [
         source / "test/support/membership_fleet.cc",
+        source / "test/support/small_config.cc",
         source / "test/support/virtual_site.cc",
+        source / "test/support/virtual_site_actions.cc",
         source / "test/fuzz/promise_run.cc",
         source / "test/fuzz/promise_fuzz.cc",
     ]
