--- a/src/core/cluster_view.cc
+++ b/src/core/cluster_view.cc
@@ -47,12 +47,14 @@
 }  // namespace
 
 std::shared_ptr<const ClusterView> BuildClusterView(
+    uint64_t turn,
     const Member& self,
     bool stopping,
     const ConfigInForce& config,
     const std::set<UpstreamName>& leaving_by_platform,
     const std::vector<Member>& live) {
   auto view = std::make_shared<ClusterView>();
+  view->turn = turn;
   view->self = self;
   view->stopping = stopping;
   view->config = config;
--- a/src/core/cluster_view.h
+++ b/src/core/cluster_view.h
@@ -29,6 +29,9 @@
 };
 
 struct ClusterView {
+  // Of the views that one instance builds: a later one has seen all that an
+  // earlier one had.
+  uint64_t turn = 0;
   Member self;
   bool stopping = false;
   ConfigInForce config;  // `configuration` is never null.
@@ -40,6 +43,7 @@
 };
 
 std::shared_ptr<const ClusterView> BuildClusterView(
+    uint64_t turn,
     const Member& self,
     bool stopping,
     const ConfigInForce& config,
--- a/src/core/instance.cc
+++ b/src/core/instance.cc
@@ -50,7 +50,7 @@
   m_membership.random = NextRandom(m_random);
   ConfigInForce empty;
   empty.configuration = std::make_shared<const Configuration>();
-  m_view = BuildClusterView(m_settings.self, false, empty, {},
+  m_view = BuildClusterView(0, m_settings.self, false, empty, {},
                             LiveMembers(m_membership));
 }
 
--- a/src/core/instance.h
+++ b/src/core/instance.h
@@ -145,7 +145,7 @@
   struct CellSlot {
     mutable std::mutex mutex;
     CellState cell;
-    LogOffset configured_as_of;
+    uint64_t configured_turn = 0;  // Of the view.
   };
   struct KeySlot {
     mutable std::mutex mutex;
@@ -223,6 +223,7 @@
 
   mutable std::mutex m_cells_mutex;
   std::map<CellId, std::shared_ptr<CellSlot>> m_cells;
+  uint64_t m_cells_turn = 0;  // Of the view.
 
   mutable std::mutex m_claims_mutex;
   ClaimLog m_claims;
@@ -237,6 +238,7 @@
   Time m_snapshot_at;
   uint64_t m_random;
 
+  std::atomic<uint64_t> m_view_turns{0};
   mutable std::mutex m_view_mutex;
   std::shared_ptr<const ClusterView> m_view;
   std::set<UpstreamName> m_leaving_by_platform;
@@ -244,7 +246,7 @@
 
   mutable std::mutex m_orders_mutex;
   OrderBook m_orders;
-  LogOffset m_orders_as_of;
+  uint64_t m_orders_turn = 0;  // Of the view.
 
   struct SchedulerWatch {
     Time probed;
--- a/src/core/instance_peers.cc
+++ b/src/core/instance_peers.cc
@@ -33,7 +33,7 @@
   slot->cell.random = StableHash(id.value, m_settings.random_seed);
   ConfigureCell(slot->cell, *view.config.configuration,
                 cell_view->second.upstreams, view.leaving);
-  slot->configured_as_of = view.config.as_of;
+  slot->configured_turn = view.turn;
   m_cells[id] = slot;
   return slot;
 }
@@ -99,11 +99,10 @@
     CellState& cell = slot->cell;
     // The cell may have been made from a view that was replaced meanwhile.
     const auto cell_view = view->cells.find(id);
-    if (slot->configured_as_of < view->config.as_of &&
-        cell_view != view->cells.end()) {
+    if (slot->configured_turn < view->turn && cell_view != view->cells.end()) {
       ConfigureCell(cell, *view->config.configuration,
                     cell_view->second.upstreams, view->leaving);
-      slot->configured_as_of = view->config.as_of;
+      slot->configured_turn = view->turn;
     }
     if (const auto* ask = std::get_if<Ask>(&message)) {
       replies = HandleAsk(cell, from, *ask, now);
--- a/src/core/instance_platform.cc
+++ b/src/core/instance_platform.cc
@@ -117,6 +117,9 @@
 }
 
 void Instance::RebuildView(Time now, Actions& out) {
+  // Taken before the state is read: of two threads, the one with the later turn
+  // has seen what made the other build a view.
+  const uint64_t turn = ++m_view_turns;
   ConfigInForce config;
   {
     const std::lock_guard lock(m_config_mutex);
@@ -140,12 +143,11 @@
   {
     const std::lock_guard lock(m_view_mutex);
     before = m_view->config.revision;
-    // Another thread may have built a later view meanwhile.
-    if (config.as_of < m_view->config.as_of) {
+    if (turn < m_view->turn) {
       return;
     }
-    m_view =
-        BuildClusterView(self, m_stopping, config, m_leaving_by_platform, live);
+    m_view = BuildClusterView(turn, self, m_stopping, config,
+                              m_leaving_by_platform, live);
     view = m_view;
   }
   if (view->config.revision != before) {
@@ -156,8 +158,8 @@
   ReconfigureCells(*view, now, out);
   const std::lock_guard lock(m_orders_mutex);
   // Another thread may have been here with a later view.
-  if (view->config.as_of >= m_orders_as_of) {
-    m_orders_as_of = view->config.as_of;
+  if (view->turn >= m_orders_turn) {
+    m_orders_turn = view->turn;
     UpdateOrderBook(m_orders, *view, now);
   }
 }
@@ -168,6 +170,10 @@
   std::vector<std::pair<CellId, std::shared_ptr<CellSlot>>> cells;
   {
     const std::lock_guard lock(m_cells_mutex);
+    if (view.turn < m_cells_turn) {
+      return;
+    }
+    m_cells_turn = view.turn;
     cells.assign(m_cells.begin(), m_cells.end());
     std::erase_if(m_cells, [&](const auto& entry) {
       return !view.cells.contains(entry.first);
@@ -182,10 +188,13 @@
           cell_view != view.cells.end() &&
           !cell_view->second.schedulers.empty() &&
           cell_view->second.schedulers.front() == m_settings.self.name;
+      if (view.turn < slot->configured_turn) {
+        continue;
+      }
+      slot->configured_turn = view.turn;
       if (cell_view != view.cells.end()) {
         ConfigureCell(slot->cell, *view.config.configuration,
                       cell_view->second.upstreams, view.leaving);
-        slot->configured_as_of = view.config.as_of;
       }
       if (!is_scheduler) {
         replies = HandBackQueue(slot->cell);
--- a/test/threads/instance_is_driven_from_many_threads_test.cc
+++ b/test/threads/instance_is_driven_from_many_threads_test.cc
@@ -80,6 +80,19 @@
     m_instance->Events().Events();
   }
 
+  // Whether the cells stand as the view of the instance says.
+  bool CellsFollowTheView() const {
+    const auto view = m_instance->View();
+    for (const CellSummary& cell : m_instance->Cells(Now())) {
+      for (const ReplicaSummary& replica : cell.replicas) {
+        if (replica.leaving != view->leaving.contains(replica.upstream)) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
   int Submitted() const { return m_submitted; }
   int Finished() const { return m_finished; }
   bool IsDone() const { return m_finished >= m_submitted; }
@@ -170,6 +183,7 @@
   CHECK(shared.Submitted() == kCallerThreads * kRequestsPerThread);
   CHECK(shared.Finished() == shared.Submitted());
   CHECK(shared.InFlight() == 0);
+  CHECK(shared.CellsFollowTheView());
 }
 
 }  // namespace
