--- /dev/null
+++ b/src/gateway/client_connection.cc
@@ -0,0 +1,191 @@
+#include "gateway/client_connection.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+namespace pomeloring {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using std::chrono::steady_clock;
+
+// Read ahead of the request being served, so that a close is seen behind it.
+constexpr size_t kMaxReadAhead = size_t{64} * 1024;
+// For the rest of a request once its header is in.
+constexpr std::chrono::seconds kBodyTimeout{10};
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+auto Await(error_code& error) {
+  return asio::redirect_error(asio::use_awaitable, error);
+}
+
+// Beast takes some requests that two parsers may read differently. Nothing of
+// them may reach an upstream.
+std::string FindAmbiguity(const ClientRequest& request) {
+  if (request.count(http::field::host) != 1) {
+    return "exactly one Host field is needed";
+  }
+  if (request.count(http::field::content_length) > 1) {
+    return "more than one Content-Length field";
+  }
+  if (request.count(http::field::transfer_encoding) > 0 &&
+      (!request.chunked() ||
+       request.count(http::field::transfer_encoding) > 1 ||
+       request.count(http::field::content_length) > 0)) {
+    return "a Transfer-Encoding other than chunked alone";
+  }
+  const std::string_view target = request.target();
+  if (target.empty() || target.front() != '/') {
+    return "the request target is not a path";
+  }
+  for (const auto& field : request) {
+    for (const char c : std::string_view(field.value())) {
+      if (c == '\r' || c == '\n' || c == '\0') {
+        return "a control character in a field";
+      }
+    }
+  }
+  return {};
+}
+
+unsigned StatusOf(error_code error) {
+  if (error == http::error::body_limit) {
+    return 413;
+  }
+  return error == http::error::header_limit ||
+                 error == http::error::buffer_overflow
+             ? 431
+             : 400;
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(asio::ip::tcp::socket socket)
+    : m_socket(std::move(socket)), m_bytes_came(m_socket.get_executor()) {}
+
+void ClientConnection::Start() {
+  ReadMore();
+}
+
+void ClientConnection::ReadMore() {
+  if (m_reading || m_gone || m_buffer.size() >= kMaxReadAhead) {
+    return;
+  }
+  m_reading = true;
+  m_socket.async_read_some(
+      asio::buffer(m_chunk),
+      [self = shared_from_this()](error_code error, size_t size) {
+        self->m_reading = false;
+        if (error) {
+          self->m_gone = true;
+          if (auto on_gone = std::exchange(self->m_on_gone, nullptr)) {
+            on_gone();
+          }
+        } else {
+          asio::buffer_copy(self->m_buffer.prepare(size),
+                            asio::buffer(self->m_chunk, size));
+          self->m_buffer.commit(size);
+          self->ReadMore();
+        }
+        self->m_bytes_came.cancel();
+      });
+}
+
+asio::awaitable<bool> ClientConnection::WaitForBytes(
+    steady_clock::time_point until) {
+  ReadMore();
+  const size_t before = m_buffer.size();
+  while (!m_gone && m_buffer.size() == before) {
+    if (steady_clock::now() >= until) {
+      co_return false;
+    }
+    error_code ignored;
+    m_bytes_came.expires_at(until);
+    co_await m_bytes_came.async_wait(Await(ignored));
+  }
+  co_return m_buffer.size() != before;
+}
+
+asio::awaitable<ReadClientResult> ClientConnection::ReadRequest(
+    ClientLimits limits) {
+  const auto self = shared_from_this();
+  m_idle = m_buffer.size() == 0;
+  if (m_idle &&
+      !co_await WaitForBytes(steady_clock::now() + limits.idle_timeout)) {
+    co_return ConnectionEnded{};
+  }
+  m_idle = false;
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(limits.header_bytes);
+  parser.body_limit(limits.body_bytes);
+  parser.eager(true);
+  auto until = steady_clock::now() + limits.header_timeout;
+  bool has_header = false;
+  while (!parser.is_done()) {
+    error_code error;
+    const size_t used = parser.put(m_buffer.data(), error);
+    m_buffer.consume(used);
+    if (error && error != http::error::need_more) {
+      co_return BadClientRequest{StatusOf(error), error.message()};
+    }
+    if (!has_header && parser.is_header_done()) {
+      has_header = true;
+      until = steady_clock::now() + kBodyTimeout;
+      if (parser.get()[http::field::expect] == "100-continue" &&
+          !parser.is_done()) {
+        std::string interim(kContinue);
+        co_await Write(std::move(interim));
+      }
+    }
+    if (parser.is_done()) {
+      break;
+    }
+    if (used > 0 && m_buffer.size() > 0) {
+      continue;
+    }
+    if (!co_await WaitForBytes(until)) {
+      if (m_gone) {
+        co_return ConnectionEnded{};
+      }
+      co_return BadClientRequest{408, "the request took too long to arrive"};
+    }
+  }
+  ReadMore();
+  ClientRequest request = parser.release();
+  const std::string ambiguity = FindAmbiguity(request);
+  if (!ambiguity.empty()) {
+    co_return BadClientRequest{400, ambiguity};
+  }
+  co_return request;
+}
+
+asio::awaitable<bool> ClientConnection::Write(std::string bytes) {
+  const auto self = shared_from_this();
+  if (m_gone) {
+    co_return false;
+  }
+  error_code error;
+  co_await asio::async_write(m_socket, asio::buffer(bytes), Await(error));
+  co_return !error;
+}
+
+void ClientConnection::Close() {
+  error_code ignored;
+  m_gone = true;
+  m_on_gone = nullptr;
+  m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  m_socket.close(ignored);
+}
+
+void ClientConnection::WatchClose(std::function<void()> on_gone) {
+  m_on_gone = std::move(on_gone);
+  if (m_gone && m_on_gone) {
+    std::exchange(m_on_gone, nullptr)();
+  }
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/gateway/client_connection.h
@@ -0,0 +1,70 @@
+// Defines ClientConnection: one client's connection, read all the time so that
+// a client that leaves is noticed while its request runs.
+
+#ifndef POMELORING_GATEWAY_CLIENT_CONNECTION_H_
+#define POMELORING_GATEWAY_CLIENT_CONNECTION_H_
+
+#include <array>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "routing/routing_config.h"
+
+namespace pomeloring {
+
+using ClientRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+
+// The connection has ended, or stayed idle too long: nothing is owed.
+struct ConnectionEnded {};
+// What came is not a request that can be served.
+struct BadClientRequest {
+  unsigned status = 400;
+  std::string reason;
+};
+
+using ReadClientResult =
+    std::variant<ClientRequest, ConnectionEnded, BadClientRequest>;
+
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  explicit ClientConnection(boost::asio::ip::tcp::socket socket);
+
+  // Begins to read; to be called once.
+  void Start();
+  boost::asio::awaitable<ReadClientResult> ReadRequest(ClientLimits limits);
+  // Writes all of `bytes`; false once the client is gone.
+  boost::asio::awaitable<bool> Write(std::string bytes);
+  void Close();
+
+  // Calls `on_gone` when the client closes; null to stop.
+  void WatchClose(std::function<void()> on_gone);
+  bool IsGone() const { return m_gone; }
+  bool IsIdle() const { return m_idle; }
+
+ private:
+  void ReadMore();
+  boost::asio::awaitable<bool> WaitForBytes(
+      std::chrono::steady_clock::time_point until);
+
+  boost::asio::ip::tcp::socket m_socket;
+  boost::asio::steady_timer m_bytes_came;
+  boost::beast::flat_buffer m_buffer;
+  std::array<char, 8192> m_chunk;
+  std::function<void()> m_on_gone;
+  bool m_reading = false;
+  bool m_gone = false;
+  bool m_idle = true;
+};
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_GATEWAY_CLIENT_CONNECTION_H_
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,386 @@
+#include "gateway/gateway.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <future>
+#include <random>
+#include <set>
+
+#include "daemon/log.h"
+#include "gateway/client_connection.h"
+#include "gateway/exchange.h"
+#include "gateway/gateway_parts.h"
+#include "gateway/peer_exchange.h"
+#include "gateway/store_feed.h"
+#include "link/address.h"
+#include "link/clock.h"
+#include "link/problem.h"
+
+namespace pomeloring {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+// Idle connections, ejections and lapsed registrations.
+constexpr milliseconds kHousekeepingInterval{200};
+constexpr milliseconds kDrainPoll{20};
+// Some callers keep an address answer three times as long as it says.
+constexpr int kAnswersKeptFactor = 3;
+constexpr milliseconds kDrainMargin{500};
+// Before the end of the longest drain: the last replies have to leave.
+constexpr milliseconds kExitMargin{700};
+// Below it, all instances are named rather than those of the caller's domain.
+constexpr size_t kMinAddresses = 2;
+constexpr size_t kMaxAddresses = 64;
+
+uint64_t RandomBits() {
+  std::random_device random;
+  return (uint64_t{random()} << 32) | random();
+}
+
+Member SelfOf(const GatewaySettings& settings) {
+  Member self;
+  self.name.value = settings.name;
+  self.incarnation = MakeIncarnation(Now(), RandomBits());
+  self.probe_address = settings.peer_address;
+  self.link_address = settings.peer_address;
+  self.caller_address = settings.caller_address;
+  self.failure_domain.value = settings.failure_domain;
+  self.region.value = settings.region;
+  return self;
+}
+
+RouterSettings RouterSettingsOf(const GatewaySettings& settings,
+                                const Member& self) {
+  RouterSettings router;
+  router.name = self.name;
+  router.incarnation = self.incarnation;
+  router.failure_domain = self.failure_domain;
+  router.retries = settings.retries;
+  router.random_seed = RandomBits();
+  return router;
+}
+
+class RunningGateway final : public Gateway {
+ public:
+  RunningGateway(GatewaySettings settings,
+                 std::string path,
+                 WireCodec codec,
+                 StoreCodec store_codec,
+                 std::unique_ptr<Store> store,
+                 GatewayHandlers handlers)
+      : m_settings(std::move(settings)),
+        m_path(std::move(path)),
+        m_codec(std::move(codec)),
+        m_store_codec(std::move(store_codec)),
+        m_store(std::move(store)),
+        m_handlers(std::move(handlers)),
+        m_log(m_settings.name, ParseLogLevel(m_settings.log_level)),
+        m_self(SelfOf(m_settings)),
+        m_threads(1),
+        m_context(m_threads.First()),
+        m_router(RouterSettingsOf(m_settings, m_self)),
+        m_pool(m_context),
+        m_feed({m_context, m_router, *m_store, m_store_codec, m_log, m_metrics,
+                [this] { m_peers.TellSoon(); }}),
+        m_peers({m_context, m_router, m_feed, m_log}, m_self, m_settings.seeds),
+        m_parts{m_context, m_router, m_pool, m_codec, m_log, m_metrics},
+        m_acceptor(m_context),
+        m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {
+    m_parts.on_run_change = [this] { m_peers.TellSoon(); };
+  }
+
+  ~RunningGateway() override { m_threads.Stop(); }
+
+  std::optional<GatewayError> Listen() {
+    if (auto error = m_peers.Listen()) {
+      return error;
+    }
+    if (auto error = ListenForCallers()) {
+      return error;
+    }
+    if (auto error = Serve(m_settings.peer_address, [this](HttpExchange& e) {
+          return m_peers.ServeFetch(e);
+        })) {
+      return error;
+    }
+    if (auto error = Serve(m_settings.directory_address,
+                           Answering(m_handlers.directory))) {
+      return error;
+    }
+    if (auto error =
+            Serve(m_settings.ready_address, Answering(m_handlers.ready))) {
+      return error;
+    }
+    return Serve(m_settings.metrics_address,
+                 [this](HttpExchange& exchange) -> asio::awaitable<void> {
+                   HttpReply reply;
+                   reply.content_type = "text/plain; version=0.0.4";
+                   reply.body = WriteMetrics(m_metrics, m_router, Now());
+                   co_await exchange.Respond(std::move(reply));
+                 });
+  }
+
+  GatewayEnd Run() override {
+    Spawn(m_peers.Receive());
+    Spawn(m_peers.Tick());
+    Spawn(m_feed.FollowConfiguration());
+    Spawn(m_feed.FollowUpstreams());
+    Spawn(AcceptCallers());
+    Spawn(Housekeeping());
+    AwaitSignal();
+    m_log.Write(LogLevel::kInfo, "started",
+                {{"caller_address", m_settings.caller_address},
+                 {"incarnation", std::to_string(m_self.incarnation.value)},
+                 {"seeds", std::to_string(m_settings.seeds.size())}});
+    std::future<GatewayEnd> end = m_end.get_future();
+    m_threads.Start();
+    const GatewayEnd result = end.get();
+    m_log.Write(LogLevel::kInfo, "stopped",
+                {{"in_flight", std::to_string(m_parts.exchanges)}});
+    m_threads.Stop();
+    return result;
+  }
+
+  bool IsReady() const override {
+    return m_router.IsReady() && !m_peers.IsLeaving();
+  }
+
+  // Instances of the caller's failure domain first: bytes between domains cost,
+  // and a caller that moves to another one asks again.
+  AddressAnswer AddressesFor(const FailureDomain& caller) const override {
+    AddressAnswer answer;
+    answer.keep_for = m_settings.keep_addresses;
+    const std::vector<Member> serving = m_peers.Serving(Now());
+    for (const Member& member : serving) {
+      if (member.failure_domain == caller) {
+        answer.addresses.push_back(member.caller_address);
+      }
+    }
+    if (answer.addresses.size() < kMinAddresses) {
+      answer.addresses.clear();
+      for (const Member& member : serving) {
+        answer.addresses.push_back(member.caller_address);
+      }
+    }
+    if (answer.addresses.size() > kMaxAddresses) {
+      answer.addresses.resize(kMaxAddresses);
+    }
+    return answer;
+  }
+
+ private:
+  void Spawn(asio::awaitable<void> task) {
+    asio::co_spawn(m_context, std::move(task), asio::detached);
+  }
+
+  HttpHandler Answering(
+      std::function<HttpReply(const Gateway&, const HttpRequest&)> answer) {
+    return [this, answer = std::move(answer)](
+               HttpExchange& exchange) -> asio::awaitable<void> {
+      co_await exchange.Respond(answer(*this, exchange.Request()));
+    };
+  }
+
+  std::optional<GatewayError> Serve(const std::string& address,
+                                    HttpHandler handler) {
+    auto started = StartHttpServer(m_threads, address, {}, std::move(handler),
+                                   ProblemForStatus);
+    if (auto* error = std::get_if<AddressUnusable>(&started)) {
+      return *error;
+    }
+    m_servers.push_back(std::get<std::shared_ptr<HttpServer>>(started));
+    return std::nullopt;
+  }
+
+  std::optional<GatewayError> ListenForCallers() {
+    const auto endpoint = ParseTcpAddress(m_settings.caller_address);
+    if (!endpoint) {
+      return AddressUnusable{m_settings.caller_address, "not IP:port"};
+    }
+    error_code error;
+    m_acceptor.open(endpoint->protocol(), error);
+    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    m_acceptor.bind(*endpoint, error);
+    if (!error) {
+      m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+      return AddressUnusable{m_settings.caller_address, error.message()};
+    }
+    return std::nullopt;
+  }
+
+  asio::awaitable<void> AcceptCallers() {
+    while (m_acceptor.is_open()) {
+      error_code error;
+      tcp::socket socket(m_context);
+      co_await m_acceptor.async_accept(
+          socket, asio::redirect_error(asio::use_awaitable, error));
+      if (error == asio::error::operation_aborted ||
+          error == asio::error::bad_descriptor) {
+        co_return;
+      }
+      if (error) {
+        m_log.Write(LogLevel::kWarning, "accept-failed",
+                    {{"error", error.message()}});
+        co_await Sleep(kDrainPoll);
+        continue;
+      }
+      socket.set_option(tcp::no_delay(true), error);
+      Spawn(ServeConnection(
+          m_parts, std::make_shared<ClientConnection>(std::move(socket))));
+    }
+  }
+
+  asio::awaitable<void> Housekeeping() {
+    while (true) {
+      const Time now = Now();
+      bool store_answers = m_feed.ReadsStore(now);
+      for (const auto& [name, peer] : m_router.Peers()) {
+        store_answers |= peer.digest.reads_store &&
+                         now - peer.heard < m_router.Settings().digest_lifetime;
+      }
+      m_router.HandleStoreState(store_answers, now);
+      m_router.Tick(now);
+      m_pool.CloseIdle();
+      co_await Sleep(kHousekeepingInterval);
+    }
+  }
+
+  void AwaitSignal() {
+    m_signals.async_wait([this](error_code error, int signal) {
+      if (error) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        Reload();
+      } else if (!m_peers.IsLeaving()) {
+        Spawn(Drain());
+      }
+      AwaitSignal();
+    });
+  }
+
+  // Seeds are taken over; all other settings hold from the next start on.
+  void Reload() {
+    auto read = ReadGatewaySettings(m_path);
+    if (const auto* error = std::get_if<SettingsError>(&read)) {
+      m_log.Write(LogLevel::kError, "reload-failed",
+                  {{"path", m_path}, {"error", Describe(*error)}});
+      return;
+    }
+    auto& settings = std::get<GatewaySettings>(read);
+    m_log.Write(LogLevel::kInfo, "reloaded",
+                {{"seeds", std::to_string(settings.seeds.size())},
+                 {"changed",
+                  settings.seeds == m_settings.seeds ? "nothing" : "seeds"}});
+    m_settings.seeds = settings.seeds;
+    m_peers.SetSeeds(std::move(settings.seeds));
+  }
+
+  // First no caller is sent here any more; what still comes is served until the
+  // answers that were given out have run out. Then what runs ends.
+  asio::awaitable<void> Drain() {
+    const auto begun = std::chrono::steady_clock::now();
+    m_log.Write(LogLevel::kInfo, "stopping",
+                {{"in_flight", std::to_string(m_parts.exchanges)}});
+    m_peers.AnnounceLeaving();
+    m_parts.closes_connections = true;
+    const auto last = begun + m_settings.longest_drain - kExitMargin;
+    const auto answers_out = std::min(
+        begun + kAnswersKeptFactor * m_settings.keep_addresses + kDrainMargin,
+        last);
+    while (std::chrono::steady_clock::now() < answers_out) {
+      co_await Sleep(kDrainPoll);
+    }
+    m_parts.refuses_new = true;
+    while (m_parts.exchanges > 0 && std::chrono::steady_clock::now() < last) {
+      co_await Sleep(kDrainPoll);
+    }
+    error_code ignored;
+    m_acceptor.close(ignored);
+    m_end.set_value(m_parts.exchanges == 0 ? GatewayEnd::kStopped
+                                           : GatewayEnd::kDrainedLate);
+  }
+
+  asio::awaitable<void> Sleep(milliseconds length) {
+    error_code ignored;
+    asio::steady_timer timer(m_context, length);
+    co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+
+  GatewaySettings m_settings;
+  const std::string m_path;
+  const WireCodec m_codec;
+  const StoreCodec m_store_codec;
+  const std::unique_ptr<Store> m_store;
+  const GatewayHandlers m_handlers;
+  Log m_log;
+  GatewayMetrics m_metrics;
+  const Member m_self;
+  // Before all that holds sockets or timers of its loop: members are destroyed
+  // in the reverse order.
+  IoThreads m_threads;
+  asio::io_context& m_context;
+  Router m_router;
+  UpstreamPool m_pool;
+  StoreFeed m_feed;
+  PeerExchange m_peers;
+  GatewayParts m_parts;
+  tcp::acceptor m_acceptor;
+  asio::signal_set m_signals;
+  std::vector<std::shared_ptr<HttpServer>> m_servers;
+  std::promise<GatewayEnd> m_end;
+};
+
+}  // namespace
+
+GatewayBuilder& GatewayBuilder::WithSettings(GatewaySettings settings,
+                                             std::string path) {
+  m_settings = std::move(settings);
+  m_path = std::move(path);
+  return *this;
+}
+
+GatewayBuilder& GatewayBuilder::WithWireCodec(WireCodec codec) {
+  m_codec = std::move(codec);
+  return *this;
+}
+
+GatewayBuilder& GatewayBuilder::WithStoreCodec(StoreCodec codec) {
+  m_store_codec = std::move(codec);
+  return *this;
+}
+
+GatewayBuilder& GatewayBuilder::WithStore(std::unique_ptr<Store> store) {
+  m_store = std::move(store);
+  return *this;
+}
+
+GatewayBuilder& GatewayBuilder::WithHandlers(GatewayHandlers handlers) {
+  m_handlers = std::move(handlers);
+  return *this;
+}
+
+std::variant<std::unique_ptr<Gateway>, GatewayError> GatewayBuilder::Build() {
+  auto gateway = std::make_unique<RunningGateway>(
+      std::move(m_settings), std::move(m_path), std::move(m_codec),
+      std::move(m_store_codec), std::move(m_store), std::move(m_handlers));
+  if (auto error = gateway->Listen()) {
+    return std::move(*error);
+  }
+  return gateway;
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,71 @@
+// Defines Gateway: a running instance that routes requests through to the
+// upstreams that are registered in the platform's store.
+
+#ifndef POMELORING_GATEWAY_GATEWAY_H_
+#define POMELORING_GATEWAY_GATEWAY_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "gateway/gateway_settings.h"
+#include "gateway/store.h"
+#include "gateway/wire_codec.h"
+#include "link/http_server.h"
+
+namespace pomeloring {
+
+enum class GatewayEnd {
+  kStopped,      // A planned stop, with nothing cut off.
+  kDrainedLate,  // A planned stop that gave up waiting for requests.
+};
+
+// Which instances a caller should use, and for how long.
+struct AddressAnswer {
+  std::vector<std::string> addresses;
+  std::chrono::seconds keep_for{1};
+};
+
+class Gateway;
+
+// How a deployment spells the questions that callers and operators ask.
+struct GatewayHandlers {
+  std::function<HttpReply(const Gateway&, const HttpRequest&)> directory;
+  std::function<HttpReply(const Gateway&, const HttpRequest&)> ready;
+};
+
+class Gateway {
+ public:
+  virtual ~Gateway() = default;
+  // Serves until a planned stop has ended. SIGTERM begins one; SIGHUP reads the
+  // settings again.
+  virtual GatewayEnd Run() = 0;
+  virtual bool IsReady() const = 0;
+  virtual AddressAnswer AddressesFor(const FailureDomain& caller) const = 0;
+};
+
+using GatewayError = AddressUnusable;
+
+class GatewayBuilder {
+ public:
+  GatewayBuilder& WithSettings(GatewaySettings settings, std::string path);
+  GatewayBuilder& WithWireCodec(WireCodec codec);
+  GatewayBuilder& WithStoreCodec(StoreCodec codec);
+  GatewayBuilder& WithStore(std::unique_ptr<Store> store);
+  GatewayBuilder& WithHandlers(GatewayHandlers handlers);
+  std::variant<std::unique_ptr<Gateway>, GatewayError> Build();
+
+ private:
+  GatewaySettings m_settings;
+  std::string m_path;
+  WireCodec m_codec;
+  StoreCodec m_store_codec;
+  std::unique_ptr<Store> m_store;
+  GatewayHandlers m_handlers;
+};
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/src/gateway/gateway_metrics.cc
@@ -0,0 +1,75 @@
+#include "gateway/gateway_metrics.h"
+
+#include <fmt/format.h>
+
+namespace pomeloring {
+
+void CountRequestEnd(GatewayMetrics& metrics,
+                     std::string_view route,
+                     std::string_view outcome) {
+  ++metrics.requests[{std::string(route), std::string(outcome)}];
+}
+
+void ObserveFirstByte(GatewayMetrics& metrics,
+                      std::string_view route,
+                      Duration elapsed) {
+  LatencyHistogram& histogram = metrics.first_byte[std::string(route)];
+  const double ms = static_cast<double>(elapsed.count()) / 1000;
+  size_t bucket = 0;
+  while (bucket < kLatencyBounds.size() && ms > kLatencyBounds[bucket]) {
+    ++bucket;
+  }
+  ++histogram.buckets[bucket];
+  histogram.sum_ms += ms;
+  ++histogram.count;
+}
+
+void CountEvent(GatewayMetrics& metrics, std::string_view name) {
+  ++metrics.events[std::string(name)];
+}
+
+std::string WriteMetrics(const GatewayMetrics& metrics,
+                         const Router& router,
+                         Time now) {
+  std::string out;
+  for (const auto& [labels, count] : metrics.requests) {
+    out += fmt::format(
+        "pomeloring_requests_total{{route=\"{}\",outcome=\"{}\"}} {}\n",
+        labels.first, labels.second, count);
+  }
+  for (const auto& [route, histogram] : metrics.first_byte) {
+    uint64_t below = 0;
+    for (size_t i = 0; i < kLatencyBounds.size(); ++i) {
+      below += histogram.buckets[i];
+      out += fmt::format(
+          "pomeloring_first_byte_ms_bucket{{route=\"{}\",le=\"{}\"}} {}\n",
+          route, kLatencyBounds[i], below);
+    }
+    out += fmt::format(
+        "pomeloring_first_byte_ms_bucket{{route=\"{0}\",le=\"+Inf\"}} {1}\n"
+        "pomeloring_first_byte_ms_sum{{route=\"{0}\"}} {2}\n"
+        "pomeloring_first_byte_ms_count{{route=\"{0}\"}} {1}\n",
+        route, histogram.count, histogram.sum_ms);
+  }
+  for (const auto& [name, count] : metrics.events) {
+    out += fmt::format("pomeloring_{}_total {}\n", name, count);
+  }
+  const auto config = router.Config();
+  out += fmt::format(
+      "pomeloring_config_version {}\npomeloring_upstreams_as_of {}\n"
+      "pomeloring_live_peers {}\n",
+      config ? config->version : 0, router.Upstreams().as_of.value,
+      router.LivePeers(now));
+  for (const UpstreamState* upstream : router.AllUpstreams()) {
+    const UpstreamUse use = TotalUse(*upstream);
+    out += fmt::format(
+        "pomeloring_upstream_running{{upstream=\"{0}\"}} {1}\n"
+        "pomeloring_upstream_unread_tokens{{upstream=\"{0}\"}} {2}\n"
+        "pomeloring_upstream_ejected{{upstream=\"{0}\"}} {3}\n",
+        upstream->record.id.value, use.running, use.unread_tokens,
+        now < upstream->health.ejected_until ? 1 : 0);
+  }
+  return out;
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/gateway/gateway_metrics.h
@@ -0,0 +1,47 @@
+// Defines GatewayMetrics: what the gateway counts, written in the Prometheus
+// text format.
+
+#ifndef POMELORING_GATEWAY_GATEWAY_METRICS_H_
+#define POMELORING_GATEWAY_GATEWAY_METRICS_H_
+
+#include <array>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "routing/router.h"
+
+namespace pomeloring {
+
+// Of latencies, in ms; the last bucket has no bound.
+inline constexpr std::array<double, 10> kLatencyBounds = {
+    10, 25, 50, 100, 200, 400, 800, 1600, 3200, 8000};
+
+struct LatencyHistogram {
+  std::array<uint64_t, kLatencyBounds.size() + 1> buckets{};
+  double sum_ms = 0;
+  uint64_t count = 0;
+};
+
+struct GatewayMetrics {
+  // By route and outcome.
+  std::map<std::pair<std::string, std::string>, uint64_t> requests;
+  std::map<std::string, LatencyHistogram> first_byte;  // By route.
+  std::map<std::string, uint64_t> events;              // Other counts, by name.
+};
+
+void CountRequestEnd(GatewayMetrics& metrics,
+                     std::string_view route,
+                     std::string_view outcome);
+void ObserveFirstByte(GatewayMetrics& metrics,
+                      std::string_view route,
+                      Duration elapsed);
+void CountEvent(GatewayMetrics& metrics, std::string_view name);
+
+std::string WriteMetrics(const GatewayMetrics& metrics,
+                         const Router& router,
+                         Time now);
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_GATEWAY_GATEWAY_METRICS_H_
--- /dev/null
+++ b/src/gateway/gateway_settings.cc
@@ -0,0 +1,144 @@
+#include "gateway/gateway_settings.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+#include "core/json_reader.h"
+#include "link/address.h"
+
+namespace pomeloring {
+namespace {
+
+constexpr double kMaxFixedRepeats = 1e6;
+
+constexpr SettingDoc kDocs[] = {
+    {"name", "string", "", "the instance's name, unique among all"},
+    {"failure_domain", "string", "", "the failure domain that it stands in"},
+    {"region", "string", "(empty)", "the region of its failure domain"},
+    {"caller_address", "IP:port", "", "HTTP for callers"},
+    {"directory_address", "IP:port", "", "HTTP: which instances to use"},
+    {"ready_address", "IP:port", "", "HTTP: whether this instance serves"},
+    {"peer_address", "IP:port", "", "UDP and TCP between instances"},
+    {"metrics_address", "IP:port", "", "HTTP: metrics as text"},
+    {"platform_address", "IP:port", "", "the platform's store"},
+    {"seeds", "list of IP:port", "[]",
+     "other instances; peers use the port of `peer_address`"},
+    {"retry_share", "0 to 1", "0.2",
+     "repeats for each request of a service, over all instances"},
+    {"retry_fixed", "0 to 1000000", "50",
+     "repeats a window beyond that share, over all instances"},
+    {"retry_window_s", "1 to 3600 s", "10", "the window of both"},
+    {"keep_addresses_s", "1 to 3600 s", "1",
+     "how long callers may keep the address answer"},
+    {"longest_drain_s", "1 to 3600 s", "8",
+     "how long a planned stop may take in all"},
+    {"log_level", "debug|info|warning|error", "info",
+     "the least level that is logged"},
+};
+
+std::string ReadAddress(JsonReader& reader, std::string_view field) {
+  std::string address = reader.String(field);
+  if (!ParseTcpAddress(address)) {
+    reader.Fail(OutOfRange{std::string(field), "IP:port"});
+  }
+  return address;
+}
+
+// Reads a number in [0, most], whole or not.
+double ReadNumber(JsonReader& reader,
+                  std::string_view field,
+                  double fallback,
+                  double most) {
+  const boost::json::value* value = reader.Raw(field);
+  if (value == nullptr) {
+    return fallback;
+  }
+  if (!value->is_number()) {
+    reader.Fail(WrongType{reader.PathOf(field), "a number"});
+    return fallback;
+  }
+  const double number = value->to_number<double>();
+  if (number < 0 || number > most) {
+    reader.Fail(OutOfRange{reader.PathOf(field), fmt::format("0 to {}", most)});
+    return fallback;
+  }
+  return number;
+}
+
+// Instances listen to peers on one port; seeds may name another one.
+std::string WithPeerPort(const std::string& seed, const std::string& peer) {
+  return seed.substr(0, seed.find(':')) + peer.substr(peer.find(':'));
+}
+
+}  // namespace
+
+std::variant<GatewaySettings, SettingsError> ParseGatewaySettings(
+    std::string_view text) {
+  boost::json::error_code parse_error;
+  const boost::json::value value = boost::json::parse(text, parse_error);
+  if (parse_error) {
+    return ConfigurationError{MalformedJson{0}};
+  }
+  std::optional<ConfigurationError> error;
+  JsonReader reader(value, "", error);
+  GatewaySettings settings;
+  settings.name = reader.String("name");
+  settings.failure_domain = reader.String("failure_domain");
+  settings.region = reader.String("region", false);
+  settings.caller_address = ReadAddress(reader, "caller_address");
+  settings.directory_address = ReadAddress(reader, "directory_address");
+  settings.ready_address = ReadAddress(reader, "ready_address");
+  settings.peer_address = ReadAddress(reader, "peer_address");
+  settings.metrics_address = ReadAddress(reader, "metrics_address");
+  settings.platform_address = ReadAddress(reader, "platform_address");
+  for (const std::string& seed : reader.Strings("seeds")) {
+    if (!ParseTcpAddress(seed)) {
+      reader.Fail(OutOfRange{"seeds", "IP:port each"});
+      break;
+    }
+    std::string peer = WithPeerPort(seed, settings.peer_address);
+    if (peer != settings.peer_address) {
+      settings.seeds.push_back(std::move(peer));
+    }
+  }
+  RetryPolicy& retries = settings.retries;
+  retries.share_of_requests =
+      ReadNumber(reader, "retry_share", retries.share_of_requests, 1);
+  retries.fixed_repeats = ReadNumber(reader, "retry_fixed",
+                                     retries.fixed_repeats, kMaxFixedRepeats);
+  retries.window = seconds{reader.Int("retry_window_s", 10, 1, 3600)};
+  settings.keep_addresses = seconds{reader.Int("keep_addresses_s", 1, 1, 3600)};
+  settings.longest_drain = seconds{reader.Int("longest_drain_s", 8, 1, 3600)};
+  const std::string level = reader.String("log_level", false);
+  settings.log_level = level.empty() ? settings.log_level : level;
+  constexpr std::string_view kLevels[] = {"debug", "info", "warning", "error"};
+  if (std::find(std::begin(kLevels), std::end(kLevels), settings.log_level) ==
+      std::end(kLevels)) {
+    reader.Fail(OutOfRange{"log_level", "debug, info, warning or error"});
+  }
+  reader.Finish();
+  if (error) {
+    return std::move(*error);
+  }
+  return settings;
+}
+
+std::variant<GatewaySettings, SettingsError> ReadGatewaySettings(
+    const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return UnreadableFile{path};
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParseGatewaySettings(text.str());
+}
+
+std::span<const SettingDoc> GatewaySettingDocs() {
+  return kDocs;
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/gateway/gateway_settings.h
@@ -0,0 +1,42 @@
+// Defines GatewaySettings: what a gateway process reads from its settings file.
+
+#ifndef POMELORING_GATEWAY_GATEWAY_SETTINGS_H_
+#define POMELORING_GATEWAY_GATEWAY_SETTINGS_H_
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "daemon/settings.h"
+#include "routing/retry_allowance.h"
+
+namespace pomeloring {
+
+struct GatewaySettings {
+  std::string name;
+  std::string failure_domain;
+  std::string region;
+  std::string caller_address;     // HTTP for callers, IP:port.
+  std::string directory_address;  // HTTP: which instances to use.
+  std::string ready_address;      // HTTP: whether this one serves.
+  std::string peer_address;       // UDP and TCP between instances.
+  std::string metrics_address;
+  std::string platform_address;
+  std::vector<std::string> seeds;  // Other instances; see WithPeerPort().
+  RetryPolicy retries;
+  std::chrono::seconds keep_addresses{1};
+  std::chrono::seconds longest_drain{8};
+  std::string log_level = "info";
+};
+
+std::variant<GatewaySettings, SettingsError> ReadGatewaySettings(
+    const std::string& path);
+std::variant<GatewaySettings, SettingsError> ParseGatewaySettings(
+    std::string_view text);
+std::span<const SettingDoc> GatewaySettingDocs();
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_GATEWAY_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/src/gateway/peer_codec.cc
@@ -0,0 +1,102 @@
+#include "gateway/peer_codec.h"
+
+#include "peer_digest.pb.h"
+
+namespace pomeloring {
+
+std::string EncodeDigest(const PeerDigest& digest) {
+  wire::PeerDigest out;
+  out.set_sender(digest.sender.value);
+  out.set_incarnation(digest.incarnation.value);
+  out.set_sequence(digest.sequence);
+  out.set_ready(digest.ready);
+  out.set_leaving(digest.leaving);
+  out.set_config_version(digest.config_version);
+  out.set_upstreams_as_of(digest.upstreams_as_of.value);
+  out.set_upstreams_changed_at(digest.upstreams_changed_at.value);
+  out.set_reads_store(digest.reads_store);
+  for (const auto& [name, use] : digest.uses) {
+    wire::UpstreamUse& entry = *out.add_uses();
+    entry.set_upstream(name.value);
+    entry.set_running(use.running);
+    entry.set_unread_tokens(use.unread_tokens);
+    entry.set_pause_sensitive(use.pause_sensitive);
+  }
+  for (const auto& [name, part] : digest.cached_parts) {
+    wire::CachedPart& entry = *out.add_cached_parts();
+    entry.set_upstream(name.value);
+    entry.set_part(part);
+  }
+  return out.SerializeAsString();
+}
+
+std::optional<PeerDigest> DecodeDigest(std::string_view bytes) {
+  wire::PeerDigest in;
+  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
+      in.sender().empty()) {
+    return std::nullopt;
+  }
+  PeerDigest digest;
+  digest.sender.value = in.sender();
+  digest.incarnation.value = in.incarnation();
+  digest.sequence = in.sequence();
+  digest.ready = in.ready();
+  digest.leaving = in.leaving();
+  digest.config_version = in.config_version();
+  digest.upstreams_as_of.value = in.upstreams_as_of();
+  digest.upstreams_changed_at.value = in.upstreams_changed_at();
+  digest.reads_store = in.reads_store();
+  for (const wire::UpstreamUse& entry : in.uses()) {
+    digest.uses.emplace_back(UpstreamName{entry.upstream()},
+                             UpstreamUse{entry.running(), entry.unread_tokens(),
+                                         entry.pause_sensitive()});
+  }
+  for (const wire::CachedPart& entry : in.cached_parts()) {
+    digest.cached_parts.emplace_back(UpstreamName{entry.upstream()},
+                                     entry.part());
+  }
+  return digest;
+}
+
+std::string EncodePeerStore(const PeerStore& store) {
+  wire::PeerState out;
+  out.set_config_version(store.config_version);
+  if (store.config) {
+    out.set_config(*store.config);
+  }
+  out.set_upstreams_as_of(store.upstreams_as_of.value);
+  out.set_is_whole_list(store.is_whole_list);
+  for (const StoredUpstream& upstream : store.upstreams) {
+    wire::StoredUpstream& entry = *out.add_upstreams();
+    entry.set_id(upstream.id.value);
+    entry.set_offset(upstream.offset.value);
+    if (upstream.value) {
+      entry.set_value(*upstream.value);
+    }
+  }
+  return out.SerializeAsString();
+}
+
+std::optional<PeerStore> DecodePeerStore(std::string_view bytes) {
+  wire::PeerState in;
+  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return std::nullopt;
+  }
+  PeerStore store;
+  store.config_version = in.config_version();
+  if (in.has_config()) {
+    store.config = in.config();
+  }
+  store.upstreams_as_of.value = in.upstreams_as_of();
+  store.is_whole_list = in.is_whole_list();
+  for (const wire::StoredUpstream& entry : in.upstreams()) {
+    StoredUpstream upstream{{entry.id()}, {entry.offset()}, {}};
+    if (entry.has_value()) {
+      upstream.value = entry.value();
+    }
+    store.upstreams.push_back(std::move(upstream));
+  }
+  return store;
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/gateway/peer_exchange.h
@@ -0,0 +1,70 @@
+// Defines PeerExchange: membership, digests and the fetching of state between
+// gateways.
+
+#ifndef POMELORING_GATEWAY_PEER_EXCHANGE_H_
+#define POMELORING_GATEWAY_PEER_EXCHANGE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/membership.h"
+#include "daemon/log.h"
+#include "gateway/store_feed.h"
+#include "link/http_server.h"
+#include "routing/router.h"
+
+namespace pomeloring {
+
+struct PeerExchangeParts {
+  boost::asio::io_context& context;
+  Router& router;
+  StoreFeed& feed;
+  Log& log;
+};
+
+// Used from one thread.
+class PeerExchange {
+ public:
+  PeerExchange(PeerExchangeParts parts,
+               Member self,
+               std::vector<std::string> seeds);
+
+  std::optional<AddressUnusable> Listen();
+  boost::asio::awaitable<void> Receive();
+  boost::asio::awaitable<void> Tick();
+  // Serves a peer that fetches what it lacks.
+  boost::asio::awaitable<void> ServeFetch(HttpExchange& exchange);
+
+  // Sends a digest soon.
+  void TellSoon() { m_tell_soon = true; }
+  void AnnounceLeaving();
+  bool IsLeaving() const { return m_leaving; }
+  void SetSeeds(std::vector<std::string> seeds);
+  // Members that serve clients, this one among them unless it is leaving.
+  std::vector<Member> Serving(Time now) const;
+
+ private:
+  void Carry(MembershipOutput output);
+  void SendTo(const std::string& address, std::string_view bytes);
+  void SendDigest();
+  void HandleDigestBytes(std::string_view bytes);
+  boost::asio::awaitable<void> Fetch(Member peer);
+  const Member* FindMember(const InstanceName& name) const;
+
+  PeerExchangeParts m_parts;
+  MembershipState m_members;
+  boost::asio::ip::udp::socket m_socket;
+  bool m_tell_soon = false;
+  bool m_leaving = false;
+  bool m_fetching = false;
+  Time m_last_digest;
+};
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_GATEWAY_PEER_EXCHANGE_H_
--- /dev/null
+++ b/src/gateway/store_feed.cc
@@ -0,0 +1,281 @@
+#include "gateway/store_feed.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "link/clock.h"
+
+namespace pomeloring {
+namespace {
+
+namespace asio = boost::asio;
+
+// Instances that read the store for all. Two, so that the loss of one costs no
+// time; each call has its price.
+constexpr size_t kReaders = 2;
+// Upstreams write about once a second each: a read that returned at once would
+// be followed by the next one a few milliseconds later. A change is to be known
+// everywhere within two seconds.
+constexpr milliseconds kUpstreamReadInterval{600};
+constexpr milliseconds kUpstreamWait{300};
+constexpr milliseconds kConfigWait{1500};
+constexpr milliseconds kRoleCheckInterval{100};
+constexpr milliseconds kFailurePause{250};
+// A reader without an answer for this long no longer counts as one.
+constexpr Duration kAnswerLifetime = milliseconds(2200);
+// Time for the first digests, before this instance reads because no peer does.
+constexpr Duration kStartPatience = milliseconds(150);
+
+asio::awaitable<void> Sleep(asio::io_context& context, milliseconds length) {
+  boost::system::error_code ignored;
+  asio::steady_timer timer(context, length);
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+}  // namespace
+
+StoreFeed::StoreFeed(StoreFeedParts parts)
+    : m_parts(std::move(parts)), m_started(Now()) {
+  m_needs_list[StoreTopic::kConfiguration] = true;
+  m_needs_list[StoreTopic::kUpstreams] = true;
+}
+
+bool StoreFeed::ReadsStore(Time now) const {
+  return m_answers && now - m_last_answer < kAnswerLifetime;
+}
+
+bool StoreFeed::ShouldRead(Time now) const {
+  size_t readers_before = 0;
+  const auto& settings = m_parts.router.Settings();
+  for (const auto& [name, peer] : m_parts.router.Peers()) {
+    const bool is_live = now - peer.heard < settings.digest_lifetime;
+    if (is_live && peer.digest.reads_store && !peer.digest.leaving &&
+        name < settings.name) {
+      ++readers_before;
+    }
+  }
+  return readers_before < kReaders && now - m_started > kStartPatience;
+}
+
+void StoreFeed::NoteAnswer(bool answered,
+                           std::string_view call,
+                           unsigned status) {
+  CountEvent(m_parts.metrics, answered ? "store_answers" : "store_failures");
+  const Time now = Now();
+  if (answered) {
+    m_last_answer = now;
+  }
+  m_answers = answered || now - m_last_answer < kAnswerLifetime;
+  // A lost dependency is one line, as is its return.
+  if (answered != m_was_answering) {
+    m_was_answering = answered;
+    m_parts.log.Write(
+        answered ? LogLevel::kInfo : LogLevel::kWarning,
+        answered ? "store-regained" : "store-lost",
+        {{"call", std::string(call)}, {"status", std::to_string(status)}});
+  }
+}
+
+asio::awaitable<void> StoreFeed::FollowConfiguration() {
+  return Follow(StoreTopic::kConfiguration);
+}
+
+asio::awaitable<void> StoreFeed::FollowUpstreams() {
+  return Follow(StoreTopic::kUpstreams);
+}
+
+asio::awaitable<void> StoreFeed::Follow(StoreTopic topic) {
+  while (true) {
+    const Time begun = Now();
+    if (!ShouldRead(begun)) {
+      m_needs_list[topic] = true;
+      co_await Sleep(m_parts.context, kRoleCheckInterval);
+      continue;
+    }
+    const bool succeeded = m_needs_list[topic] ? co_await ListTopic(topic)
+                                               : co_await ReadTopic(topic);
+    if (!succeeded) {
+      co_await Sleep(m_parts.context, kFailurePause);
+      continue;
+    }
+    const auto spent = std::chrono::duration_cast<milliseconds>(Now() - begun);
+    if (topic == StoreTopic::kUpstreams && spent < kUpstreamReadInterval) {
+      co_await Sleep(m_parts.context, kUpstreamReadInterval - spent);
+    }
+  }
+}
+
+asio::awaitable<bool> StoreFeed::ListTopic(StoreTopic topic) {
+  const auto result = co_await m_parts.store.List(topic);
+  const auto* refused = std::get_if<StoreRefused>(&result);
+  const auto* list = std::get_if<StoreList>(&result);
+  NoteAnswer(list != nullptr, "list", refused ? refused->status : 0);
+  if (list == nullptr) {
+    co_return false;
+  }
+  m_needs_list[topic] = false;
+  m_next[topic] = list->end;
+  TakeEntries(topic, list->entries, list->end, true);
+  co_return true;
+}
+
+asio::awaitable<bool> StoreFeed::ReadTopic(StoreTopic topic) {
+  const auto wait =
+      topic == StoreTopic::kUpstreams ? kUpstreamWait : kConfigWait;
+  const auto result = co_await m_parts.store.Read(topic, m_next[topic], wait);
+  if (std::holds_alternative<HistoryExpired>(result)) {
+    NoteAnswer(true, "read", 0);
+    m_needs_list[topic] = true;
+    co_return true;
+  }
+  const auto* refused = std::get_if<StoreRefused>(&result);
+  const auto* page = std::get_if<StorePage>(&result);
+  NoteAnswer(page != nullptr, "read", refused ? refused->status : 0);
+  if (page == nullptr) {
+    co_return false;
+  }
+  m_next[topic] = page->end;
+  TakeEntries(topic, page->entries, page->end, false);
+  co_return true;
+}
+
+void StoreFeed::TakeEntries(StoreTopic topic,
+                            const std::vector<StoreEntry>& entries,
+                            LogOffset end,
+                            bool is_whole_list) {
+  if (topic == StoreTopic::kConfiguration) {
+    for (const StoreEntry& entry : entries) {
+      if (entry.value) {
+        TakeConfigText(*entry.value, "store");
+      }
+    }
+    return;
+  }
+  std::vector<StoredUpstream> upstreams;
+  upstreams.reserve(entries.size());
+  for (const StoreEntry& entry : entries) {
+    upstreams.push_back({{entry.key}, entry.offset, entry.value});
+  }
+  TakeUpstreams(upstreams, end, is_whole_list, "store");
+}
+
+void StoreFeed::TakeConfigText(const std::string& text,
+                               std::string_view source) {
+  auto read = m_parts.codec.read_config(text);
+  if (auto* malformed = std::get_if<MalformedField>(&read)) {
+    if (m_unreadable.insert(text.substr(0, 64)).second) {
+      m_parts.log.Write(LogLevel::kWarning, "configuration-unreadable",
+                        {{"field", malformed->name},
+                         {"expected", malformed->expected},
+                         {"source", std::string(source)}});
+    }
+    return;
+  }
+  auto config =
+      std::make_shared<RoutingConfig>(std::get<RoutingConfig>(std::move(read)));
+  const uint64_t version = config->version;
+  const size_t routes = config->routes.size();
+  if (m_parts.router.TakeConfig(std::move(config))) {
+    m_config_text = text;
+    m_parts.log.Write(LogLevel::kInfo, "configuration-taken",
+                      {{"version", std::to_string(version)},
+                       {"routes", std::to_string(routes)},
+                       {"source", std::string(source)}});
+    m_parts.on_change();
+  }
+}
+
+void StoreFeed::TakeUpstreams(const std::vector<StoredUpstream>& entries,
+                              LogOffset as_of,
+                              bool is_whole_list,
+                              std::string_view source) {
+  std::vector<UpstreamChange> changes;
+  for (const StoredUpstream& entry : entries) {
+    UpstreamChange change{entry.id, entry.offset, std::nullopt};
+    if (entry.value) {
+      auto read = m_parts.codec.read_upstream(entry.id.value, *entry.value);
+      if (auto* record = std::get_if<UpstreamRecord>(&read)) {
+        change.record = std::move(*record);
+      } else if (m_unreadable.insert(entry.id.value).second) {
+        // It names no upstream to use; the others hold.
+        const auto& malformed = std::get<MalformedField>(read);
+        m_parts.log.Write(LogLevel::kWarning, "upstream-unreadable",
+                          {{"upstream", entry.id.value},
+                           {"field", malformed.name},
+                           {"expected", malformed.expected}});
+      }
+      m_upstream_texts[entry.id] = *entry.value;
+    } else {
+      m_upstream_texts.erase(entry.id);
+    }
+    changes.push_back(std::move(change));
+  }
+  const Time now = Now();
+  const auto changed =
+      is_whole_list ? m_parts.router.TakeUpstreamList(changes, as_of, now)
+                    : m_parts.router.TakeUpstreamChanges(changes, as_of, now);
+  for (const UpstreamName& name : changed) {
+    const auto& record = m_parts.router.Upstreams().entries.at(name).record;
+    m_parts.log.Write(LogLevel::kInfo, "upstream-changed",
+                      {{"upstream", name.value},
+                       {"state", !record            ? "gone"
+                                 : record->draining ? "draining"
+                                                    : "ready"},
+                       {"address", record ? record->address : ""},
+                       {"as_of", std::to_string(as_of.value)},
+                       {"source", std::string(source)}});
+  }
+  if (!changed.empty()) {
+    m_parts.on_change();
+  }
+}
+
+// --- Peers -------------------------------------------------------------------
+
+PeerStore StoreFeed::StateSince(uint64_t config_version,
+                                LogOffset upstreams_as_of) const {
+  PeerStore state;
+  const auto config = m_parts.router.Config();
+  const UpstreamTable& table = m_parts.router.Upstreams();
+  state.config_version = config ? config->version : 0;
+  if (state.config_version > config_version) {
+    state.config = m_config_text;
+  }
+  state.upstreams_as_of = table.as_of;
+  state.is_whole_list = upstreams_as_of.value == 0 && table.is_complete;
+  for (const auto& [name, entry] : table.entries) {
+    if (entry.offset < upstreams_as_of) {
+      continue;
+    }
+    StoredUpstream stored{name, entry.offset, std::nullopt};
+    if (const auto text = m_upstream_texts.find(name);
+        entry.record && text != m_upstream_texts.end()) {
+      stored.value = text->second;
+    }
+    state.upstreams.push_back(std::move(stored));
+  }
+  return state;
+}
+
+bool StoreFeed::IsBehind(const PeerDigest& digest) const {
+  const auto config = m_parts.router.Config();
+  const UpstreamTable& table = m_parts.router.Upstreams();
+  return digest.config_version > (config ? config->version : 0) ||
+         digest.upstreams_changed_at > table.changed_at ||
+         (digest.upstreams_as_of.value > 0 && !table.is_complete);
+}
+
+void StoreFeed::TakeFromPeer(const InstanceName& peer, const PeerStore& state) {
+  if (state.config) {
+    TakeConfigText(*state.config, peer.value);
+  }
+  if (state.upstreams_as_of.value > 0) {
+    TakeUpstreams(state.upstreams, state.upstreams_as_of, state.is_whole_list,
+                  peer.value);
+  }
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/gateway/store_feed.h
@@ -0,0 +1,84 @@
+// Defines StoreFeed: brings the configuration and the registered upstreams into
+// the router, from the store or from peers that have read it.
+
+#ifndef POMELORING_GATEWAY_STORE_FEED_H_
+#define POMELORING_GATEWAY_STORE_FEED_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <set>
+#include <string>
+
+#include "daemon/log.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/peer_codec.h"
+#include "gateway/store.h"
+#include "gateway/wire_codec.h"
+#include "routing/router.h"
+
+namespace pomeloring {
+
+struct StoreFeedParts {
+  boost::asio::io_context& context;
+  Router& router;
+  Store& store;
+  const StoreCodec& codec;
+  Log& log;
+  GatewayMetrics& metrics;
+  // Peers should hear of a change soon.
+  std::function<void()> on_change;
+};
+
+// Used from one thread.
+class StoreFeed {
+ public:
+  explicit StoreFeed(StoreFeedParts parts);
+
+  // Begin to read; both run until the context stops.
+  boost::asio::awaitable<void> FollowConfiguration();
+  boost::asio::awaitable<void> FollowUpstreams();
+
+  // Whether the store itself answered this instance of late.
+  bool ReadsStore(Time now) const;
+  // Whether this instance should read the store, by what its peers do.
+  bool ShouldRead(Time now) const;
+
+  // What a peer is given that has the configuration `config_version` and the
+  // upstreams as of `upstreams_as_of`.
+  PeerStore StateSince(uint64_t config_version,
+                       LogOffset upstreams_as_of) const;
+  void TakeFromPeer(const InstanceName& peer, const PeerStore& state);
+  // Whether `digest` shows that its sender has what this instance lacks.
+  bool IsBehind(const PeerDigest& digest) const;
+
+ private:
+  void TakeConfigText(const std::string& text, std::string_view source);
+  void TakeUpstreams(const std::vector<StoredUpstream>& entries,
+                     LogOffset as_of,
+                     bool is_whole_list,
+                     std::string_view source);
+  boost::asio::awaitable<bool> ListTopic(StoreTopic topic);
+  boost::asio::awaitable<bool> ReadTopic(StoreTopic topic);
+  void TakeEntries(StoreTopic topic,
+                   const std::vector<StoreEntry>& entries,
+                   LogOffset end,
+                   bool is_whole_list);
+  boost::asio::awaitable<void> Follow(StoreTopic topic);
+  void NoteAnswer(bool answered, std::string_view call, unsigned status);
+
+  StoreFeedParts m_parts;
+  std::string m_config_text;
+  std::map<UpstreamName, std::string> m_upstream_texts;
+  std::set<std::string> m_unreadable;  // Logged already.
+  std::map<StoreTopic, LogOffset> m_next;
+  std::map<StoreTopic, bool> m_needs_list;
+  Time m_started;
+  Time m_last_answer;
+  bool m_answers = false;
+  bool m_was_answering = true;
+};
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_GATEWAY_STORE_FEED_H_
--- /dev/null
+++ b/src/gateway/upstream_connection.cc
@@ -0,0 +1,136 @@
+#include "gateway/upstream_connection.h"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "link/address.h"
+
+namespace pomeloring {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// Upstreams stand within a region: connecting takes some milliseconds. A lost
+// opening packet is sent again only after a second.
+constexpr milliseconds kConnectTimeout{300};
+// Of the idle time that an upstream states, so that it does not close the
+// connection while a request is on its way.
+constexpr double kUsedIdleShare = 0.5;
+constexpr milliseconds kDefaultIdleLimit{4000};
+// A request that may not be repeated is lost if it meets a close.
+constexpr milliseconds kFreshIdle{1000};
+
+bool IsStillOpen(UpstreamConnection& connection) {
+  char byte = 0;
+  error_code error;
+  connection.socket.non_blocking(true, error);
+  connection.socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
+                            error);
+  // Bytes on an idle connection belong to no request.
+  return error == asio::error::would_block;
+}
+
+}  // namespace
+
+void UpstreamConnection::Close() {
+  error_code ignored;
+  socket.close(ignored);
+}
+
+std::shared_ptr<UpstreamConnection> UpstreamPool::TakeIdle(Host& host,
+                                                           bool fresh_only) {
+  const auto now = steady_clock::now();
+  while (!host.idle.empty()) {
+    auto connection = std::move(host.idle.back());
+    host.idle.pop_back();
+    const auto idle = now - connection->idle_since;
+    const bool is_fresh =
+        idle < connection->idle_limit && (!fresh_only || idle < kFreshIdle);
+    if (is_fresh && IsStillOpen(*connection)) {
+      return connection;
+    }
+    connection->Close();
+    --host.open;
+  }
+  return nullptr;
+}
+
+asio::awaitable<UpstreamConnectResult>
+UpstreamPool::Connect(std::string address, size_t max_open, bool fresh_only) {
+  Host& host = m_hosts[address];
+  if (auto idle = TakeIdle(host, fresh_only)) {
+    co_return idle;
+  }
+  if (host.open >= max_open) {
+    co_return ConnectionLimitReached{};
+  }
+  const auto endpoint = ParseTcpAddress(address);
+  if (!endpoint) {
+    co_return UnreachableUpstream{address};
+  }
+  ++host.open;
+  ++m_opened;
+  auto connection =
+      std::make_shared<UpstreamConnection>(m_context.get_executor());
+  connection->address = address;
+  asio::steady_timer timer(m_context, kConnectTimeout);
+  timer.async_wait([connection](error_code error) {
+    if (!error) {
+      connection->Close();
+    }
+  });
+  error_code error;
+  co_await connection->socket.async_connect(
+      *endpoint, asio::redirect_error(asio::use_awaitable, error));
+  timer.cancel();
+  if (error || !connection->socket.is_open()) {
+    Release(address);
+    co_return UnreachableUpstream{address};
+  }
+  connection->socket.set_option(tcp::no_delay(true), error);
+  co_return connection;
+}
+
+void UpstreamPool::PutBack(std::shared_ptr<UpstreamConnection> connection) {
+  connection->was_used = true;
+  connection->idle_since = steady_clock::now();
+  const double stated = static_cast<double>(connection->stated_idle.count());
+  connection->idle_limit =
+      stated > 0 ? milliseconds{static_cast<int64_t>(kUsedIdleShare * stated)}
+                 : kDefaultIdleLimit;
+  Host& host = m_hosts[connection->address];
+  host.idle.push_back(std::move(connection));
+}
+
+void UpstreamPool::Release(const std::string& address) {
+  const auto host = m_hosts.find(address);
+  if (host != m_hosts.end() && host->second.open > 0) {
+    --host->second.open;
+  }
+}
+
+void UpstreamPool::CloseIdle() {
+  const auto now = steady_clock::now();
+  for (auto host = m_hosts.begin(); host != m_hosts.end();) {
+    auto& idle = host->second.idle;
+    const size_t before = idle.size();
+    std::erase_if(idle, [&](const auto& connection) {
+      const bool is_old =
+          now - connection->idle_since >= connection->idle_limit;
+      if (is_old) {
+        connection->Close();
+      }
+      return is_old;
+    });
+    host->second.open -= before - idle.size();
+    host = host->second.open == 0 ? m_hosts.erase(host) : std::next(host);
+  }
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/gateway/upstream_connection.h
@@ -0,0 +1,76 @@
+// Defines UpstreamConnection and UpstreamPool: kept connections to upstreams.
+
+#ifndef POMELORING_GATEWAY_UPSTREAM_CONNECTION_H_
+#define POMELORING_GATEWAY_UPSTREAM_CONNECTION_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pomeloring {
+
+struct UpstreamConnection {
+  explicit UpstreamConnection(const boost::asio::any_io_executor& executor)
+      : socket(executor) {}
+  boost::asio::ip::tcp::socket socket;
+  boost::beast::flat_buffer buffer;
+  std::string address;
+  bool was_used = false;  // Has carried a request before.
+  std::chrono::steady_clock::time_point idle_since;
+  std::chrono::milliseconds stated_idle{0};  // By the upstream; 0: none.
+  std::chrono::milliseconds idle_limit{0};
+
+  void Close();
+};
+
+struct UnreachableUpstream {
+  std::string address;
+};
+// This instance's share of the connections to the upstream is in use.
+struct ConnectionLimitReached {};
+
+using UpstreamConnectResult = std::variant<std::shared_ptr<UpstreamConnection>,
+                                           UnreachableUpstream,
+                                           ConnectionLimitReached>;
+
+// Used from one thread.
+class UpstreamPool {
+ public:
+  explicit UpstreamPool(boost::asio::io_context& context)
+      : m_context(context) {}
+
+  // Gives an idle connection, the one used last first, or opens one. With
+  // `fresh_only` an idle one must have been used very lately.
+  boost::asio::awaitable<UpstreamConnectResult> Connect(std::string address,
+                                                        size_t max_open,
+                                                        bool fresh_only);
+  // Takes back a connection on which nothing is due.
+  void PutBack(std::shared_ptr<UpstreamConnection> connection);
+  // One connection that was given out is closed for good.
+  void Release(const std::string& address);
+  // Closes the connections that have been idle for too long.
+  void CloseIdle();
+  size_t OpenedTotal() const { return m_opened; }
+
+ private:
+  struct Host {
+    std::vector<std::shared_ptr<UpstreamConnection>> idle;
+    size_t open = 0;  // Idle ones and those in use.
+  };
+  std::shared_ptr<UpstreamConnection> TakeIdle(Host& host, bool fresh_only);
+
+  boost::asio::io_context& m_context;
+  std::map<std::string, Host> m_hosts;
+  size_t m_opened = 0;
+};
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_GATEWAY_UPSTREAM_CONNECTION_H_
--- /dev/null
+++ b/src/gateway/wire_codec.h
@@ -0,0 +1,77 @@
+// Defines WireCodec and StoreCodec: how a deployment spells requests, replies
+// and stored records. The gateway knows their meaning only.
+
+#ifndef POMELORING_GATEWAY_WIRE_CODEC_H_
+#define POMELORING_GATEWAY_WIRE_CODEC_H_
+
+#include <boost/beast/http/fields.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "routing/routing_config.h"
+#include "routing/upstream_state.h"
+#include "routing/upstream_table.h"
+
+namespace pomeloring {
+
+using HttpFields = boost::beast::http::fields;
+
+// What a client's request says besides its method, path and body.
+struct RequestFacts {
+  std::string id;   // Of this try of the client; empty if it gave none.
+  std::string key;  // Of its account; empty if it gave none.
+  std::optional<Duration> time_left;
+  uint32_t prompt_tokens = 0;
+  std::vector<PromptPart> parts;
+  // Of a stream that the client goes on with after this event.
+  std::optional<uint64_t> resume_after;
+};
+
+struct MalformedField {
+  std::string name;
+  std::string expected;
+};
+
+using ReadRequestResult = std::variant<RequestFacts, MalformedField>;
+
+// What the gateway tells an upstream besides what the client sent.
+struct UpstreamFields {
+  Duration time_left{0};
+  UpstreamName expected;  // Any other upstream is to refuse the request.
+  std::optional<AccountName> account;
+  std::optional<uint32_t> urgency;  // 0 is the most urgent.
+  std::optional<uint64_t> resume_after;
+};
+
+struct ReplyFacts {
+  std::string request_id;
+  bool not_executed = false;  // The upstream states that it has not run it.
+  bool is_sealed = false;     // Carries the upstream's signature.
+};
+
+struct WireCodec {
+  std::function<ReadRequestResult(const HttpFields&)> read_request;
+  // Whether a field of the client is passed to the upstream.
+  std::function<bool(std::string_view name)> passes_to_upstream;
+  std::function<void(const UpstreamFields&, std::string& out)> write_upstream;
+  std::function<ReplyFacts(unsigned status, const HttpFields&)> read_reply;
+  // The field that carries the id of a request.
+  std::string request_id_field;
+};
+
+struct StoreCodec {
+  std::function<std::variant<RoutingConfig, MalformedField>(std::string_view)>
+      read_config;
+  std::function<std::variant<UpstreamRecord, MalformedField>(
+      std::string_view id,
+      std::string_view text)>
+      read_upstream;
+};
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_GATEWAY_WIRE_CODEC_H_
--- /dev/null
+++ b/src/routing/event_splitter.cc
@@ -0,0 +1,67 @@
+#include "routing/event_splitter.h"
+
+#include <charconv>
+
+namespace pomeloring {
+namespace {
+
+// Returns where the event that starts at 0 ends, past its empty line, or npos.
+size_t EndOfEvent(std::string_view text) {
+  const size_t lf = text.find("\n\n");
+  const size_t crlf = text.find("\r\n\r\n");
+  if (crlf != std::string_view::npos &&
+      (lf == std::string_view::npos || crlf < lf)) {
+    return crlf + 4;
+  }
+  return lf == std::string_view::npos ? lf : lf + 2;
+}
+
+}  // namespace
+
+void EventSplitter::ReadId(std::string_view event, WholeEvents& out) {
+  size_t start = 0;
+  while (start < event.size()) {
+    const size_t end = std::min(event.find('\n', start), event.size());
+    std::string_view line = event.substr(start, end - start);
+    start = end + 1;
+    if (!line.starts_with("id:")) {
+      continue;
+    }
+    line.remove_prefix(3);
+    while (line.starts_with(' ')) {
+      line.remove_prefix(1);
+    }
+    uint64_t id = 0;
+    const auto read =
+        std::from_chars(line.data(), line.data() + line.size(), id);
+    if (read.ec != std::errc{}) {
+      continue;
+    }
+    if (m_last_id && id <= *m_last_id) {
+      out.out_of_order = true;
+    }
+    m_last_id = id;
+    out.last_id = id;
+    ++out.count;
+  }
+}
+
+WholeEvents EventSplitter::Feed(std::string_view bytes) {
+  m_rest.append(bytes);
+  WholeEvents out;
+  size_t taken = 0;
+  while (true) {
+    const std::string_view rest = std::string_view(m_rest).substr(taken);
+    const size_t end = EndOfEvent(rest);
+    if (end == std::string_view::npos) {
+      break;
+    }
+    ReadId(rest.substr(0, end), out);
+    taken += end;
+  }
+  out.bytes = m_rest.substr(0, taken);
+  m_rest.erase(0, taken);
+  return out;
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/routing/placement.cc
@@ -0,0 +1,167 @@
+#include "routing/placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pomeloring {
+namespace {
+
+// Prompt tokens that an engine reads between two steps of the running batch.
+constexpr double kChunkTokens = 2048;
+// One step of a batch without prompts, about; see docs/design/routing.md.
+constexpr double kStepMs = 5;
+// Pauses vary: a target within this factor of the expected one is at risk.
+constexpr double kPauseMargin = 1.3;
+// Cost of each run in the batch to a newcomer, by the step time per slot over
+// some 20 events.
+constexpr double kCostPerRunMs = 1.5;
+// A millisecond that a long prompt takes from each pause-sensitive run beside
+// it counts as much as this many of its own.
+constexpr double kInterferenceWeight = 0.5;
+// A pause-sensitive run beside unread prompts loses its pause target for as
+// long as they are read.
+constexpr double kExposureWeight = 4;
+// Beyond the latency target an answer loses most of its value.
+constexpr double kLateWeight = 4;
+// Crossing failure domains costs bytes; worth this much waiting.
+constexpr double kOtherDomainMs = 12;
+// A run that waits for a slot waits for others to end; a tenth of their usual
+// two seconds over the batch.
+constexpr double kQueuedRunMs = 40;
+// Plain services: the time of one call, about.
+constexpr double kPlainCallMs = 15;
+// A start that is expected later than this share of the time left leaves too
+// little to finish.
+constexpr double kLatestStartShare = 0.6;
+constexpr double kMinRateTokensPerMs = 5;
+constexpr double kMaxRateTokensPerMs = 1000;
+constexpr uint32_t kMinTokensToLearn = 1000;
+constexpr double kLearnWeight = 0.1;
+
+double Millis(Duration duration) {
+  return static_cast<double>(duration.count()) / 1000;
+}
+
+Duration FromMillis(double ms) {
+  return Duration{static_cast<int64_t>(ms * 1000)};
+}
+
+struct Estimate {
+  double start_ms = 0;
+  double cost_ms = 0;
+  uint32_t unread = 0;
+};
+
+Estimate EstimateEngine(const PlacementRequest& request,
+                        const EngineTraits& engine,
+                        const UpstreamState& upstream,
+                        const EngineSpeed& speed,
+                        bool sensitive) {
+  const UpstreamUse use = TotalUse(upstream);
+  const uint32_t cached =
+      std::min(CachedTokens(upstream, request.parts), request.prompt_tokens);
+  Estimate estimate;
+  estimate.unread = request.prompt_tokens - cached;
+  const double rate = speed.tokens_per_ms / upstream.health.latency_ratio;
+  const double backlog_ms = static_cast<double>(use.unread_tokens) / rate;
+  const double read_ms = estimate.unread / rate;
+  estimate.start_ms = backlog_ms + read_ms;
+  if (use.running >= engine.batch_slots) {
+    estimate.start_ms += kQueuedRunMs * (use.running - engine.batch_slots + 1);
+  }
+  estimate.cost_ms = estimate.start_ms + kCostPerRunMs * use.running;
+  if (sensitive && static_cast<double>(use.unread_tokens) > kChunkTokens) {
+    estimate.cost_ms += kExposureWeight * backlog_ms;
+  }
+  if (estimate.unread > kChunkTokens) {
+    estimate.cost_ms += kInterferenceWeight * use.pause_sensitive * read_ms;
+  }
+  return estimate;
+}
+
+Estimate EstimatePlain(const UpstreamState& upstream) {
+  const UpstreamUse use = TotalUse(upstream);
+  const uint32_t slots = std::max(1U, upstream.record.slots);
+  Estimate estimate;
+  if (use.running >= slots) {
+    estimate.start_ms = kPlainCallMs * (use.running - slots + 1) / slots;
+  }
+  estimate.start_ms += kPlainCallMs * upstream.health.latency_ratio;
+  // Above half of the slots, another domain is better than a queue.
+  estimate.cost_ms =
+      estimate.start_ms + 2 * kOtherDomainMs * use.running / slots;
+  return estimate;
+}
+
+}  // namespace
+
+bool IsPauseSensitive(const Route& route,
+                      const EngineTraits& engine,
+                      const EngineSpeed& speed) {
+  const double pause_ms =
+      engine.tokens_per_event * (kChunkTokens / speed.tokens_per_ms + kStepMs);
+  return route.pause_target.count() > 0 &&
+         Millis(route.pause_target) < kPauseMargin * pause_ms;
+}
+
+PlacementResult ChooseUpstream(const PlacementRequest& request,
+                               std::span<UpstreamState* const> candidates,
+                               const EngineSpeed& speed,
+                               Time now,
+                               uint64_t random) {
+  const auto& engine = request.service->engine;
+  const bool sensitive =
+      engine && IsPauseSensitive(*request.route, *engine, speed);
+  const double target_ms = Millis(request.route->latency_target);
+  std::optional<Estimate> best;
+  UpstreamState* chosen = nullptr;
+  double soonest_ms = 0;
+  size_t usable = 0;
+  const size_t offset = candidates.empty() ? 0 : random % candidates.size();
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    UpstreamState* upstream = candidates[(i + offset) % candidates.size()];
+    if (std::find(request.excluded.begin(), request.excluded.end(),
+                  upstream->record.id) != request.excluded.end()) {
+      continue;
+    }
+    const bool on_trial =
+        upstream->health.is_trial && TotalUse(*upstream).running > 0;
+    if (now < upstream->health.ejected_until || on_trial) {
+      continue;
+    }
+    Estimate estimate =
+        engine ? EstimateEngine(request, *engine, *upstream, speed, sensitive)
+               : EstimatePlain(*upstream);
+    if (target_ms > 0 && estimate.start_ms > target_ms) {
+      estimate.cost_ms += kLateWeight * (estimate.start_ms - target_ms);
+    }
+    if (upstream->record.failure_domain != request.failure_domain) {
+      estimate.cost_ms += kOtherDomainMs;
+    }
+    soonest_ms = usable == 0 ? estimate.start_ms
+                             : std::min(soonest_ms, estimate.start_ms);
+    ++usable;
+    if (!best || estimate.cost_ms < best->cost_ms) {
+      best = estimate;
+      chosen = upstream;
+    }
+  }
+  if (chosen == nullptr) {
+    return Unplaced{PlacementRefusal::kNoUpstream, milliseconds(300)};
+  }
+  if (best->start_ms > kLatestStartShare * Millis(request.time_left)) {
+    return Unplaced{PlacementRefusal::kOverloaded, FromMillis(soonest_ms / 2)};
+  }
+  return Placement{chosen, best->unread, sensitive, FromMillis(best->start_ms)};
+}
+
+void LearnPrefill(EngineSpeed& speed, uint32_t tokens, Duration first_event) {
+  if (tokens < kMinTokensToLearn || first_event.count() <= 0) {
+    return;
+  }
+  const double seen = std::clamp(tokens / Millis(first_event),
+                                 kMinRateTokensPerMs, kMaxRateTokensPerMs);
+  speed.tokens_per_ms += kLearnWeight * (seen - speed.tokens_per_ms);
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/routing/placement.h
@@ -0,0 +1,73 @@
+// Defines placement: which upstream a request is sent to, by what it would wait
+// there and what it would cost the runs beside it.
+
+#ifndef POMELORING_ROUTING_PLACEMENT_H_
+#define POMELORING_ROUTING_PLACEMENT_H_
+
+#include <optional>
+#include <set>
+#include <span>
+#include <variant>
+#include <vector>
+
+#include "routing/routing_config.h"
+#include "routing/upstream_state.h"
+
+namespace pomeloring {
+
+// How fast engines are. Learnt from runs; see LearnPrefill().
+struct EngineSpeed {
+  double tokens_per_ms = 40;  // Of a prompt, read alone.
+};
+
+// What placement needs to know of a request.
+struct PlacementRequest {
+  const Route* route = nullptr;
+  const RoutedService* service = nullptr;
+  FailureDomain failure_domain;  // Of this instance.
+  uint32_t prompt_tokens = 0;
+  std::span<const PromptPart> parts;
+  Duration time_left{0};
+  std::span<const UpstreamName> excluded;
+};
+
+struct Placement {
+  UpstreamState* upstream = nullptr;
+  uint32_t unread_tokens = 0;  // Of the prompt, less what is cached there.
+  bool pause_sensitive = false;
+  Duration expected_start{0};  // Of the answer or the first event.
+};
+
+enum class PlacementRefusal {
+  kNoUpstream,  // None is in service.
+  kOverloaded,  // All would start it too late.
+};
+
+struct Unplaced {
+  PlacementRefusal reason = PlacementRefusal::kNoUpstream;
+  Duration retry_after{0};
+};
+
+using PlacementResult = std::variant<Placement, Unplaced>;
+
+// Chooses among `candidates`, which are of one service and take new work.
+// `random` breaks ties.
+PlacementResult ChooseUpstream(const PlacementRequest& request,
+                               std::span<UpstreamState* const> candidates,
+                               const EngineSpeed& speed,
+                               Time now,
+                               uint64_t random);
+
+// Whether long prompts that are read beside it would break this route's pause
+// target.
+bool IsPauseSensitive(const Route& route,
+                      const EngineTraits& engine,
+                      const EngineSpeed& speed);
+
+// Takes in the time to the first event of a run that found nothing unread
+// before it.
+void LearnPrefill(EngineSpeed& speed, uint32_t tokens, Duration first_event);
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_ROUTING_PLACEMENT_H_
--- /dev/null
+++ b/src/routing/retry_allowance.h
@@ -0,0 +1,37 @@
+// Defines RetryAllowance: how many repeats of requests one instance may send to
+// a service, so that all instances together stay within a shared budget.
+
+#ifndef POMELORING_ROUTING_RETRY_ALLOWANCE_H_
+#define POMELORING_ROUTING_RETRY_ALLOWANCE_H_
+
+#include <deque>
+
+#include "core/ids.h"
+
+namespace pomeloring {
+
+struct RetryPolicy {
+  double share_of_requests = 0.2;  // Repeats a request, over the window.
+  double fixed_repeats = 50;       // A window, over all instances.
+  Duration window = seconds(10);
+};
+
+struct RetryAllowance {
+  std::deque<Time> requests;
+  std::deque<Time> repeats;
+};
+
+void CountRequest(RetryAllowance& allowance,
+                  const RetryPolicy& policy,
+                  Time now);
+
+// Takes one repeat out of the allowance; false where none is left. `instances`
+// share the fixed part.
+bool TakeRepeat(RetryAllowance& allowance,
+                const RetryPolicy& policy,
+                size_t instances,
+                Time now);
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_ROUTING_RETRY_ALLOWANCE_H_
--- /dev/null
+++ b/src/routing/router.h
@@ -0,0 +1,137 @@
+// Defines Router: the decisions of one instance that routes requests through to
+// registered upstreams. It does no I/O and reads no clock.
+
+#ifndef POMELORING_ROUTING_ROUTER_H_
+#define POMELORING_ROUTING_ROUTER_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "routing/peer_digest.h"
+#include "routing/placement.h"
+#include "routing/retry_allowance.h"
+#include "routing/routing_config.h"
+#include "routing/upstream_state.h"
+#include "routing/upstream_table.h"
+
+namespace pomeloring {
+
+struct RouterSettings {
+  InstanceName name;
+  Incarnation incarnation;
+  FailureDomain failure_domain;
+  RetryPolicy retries;
+  // A digest older than this says nothing of what its sender runs.
+  Duration digest_lifetime = milliseconds(1500);
+  // Entries that lapsed while the store was out are written again within this
+  // time of its return; see docs/design/routing.md.
+  Duration lapse_grace = milliseconds(2200);
+  uint64_t random_seed = 1;
+};
+
+// One try of a request at an upstream, from its placement to its end.
+struct Run {
+  std::shared_ptr<UpstreamState> upstream;
+  Placement placement;
+  ServiceName service;
+  std::vector<PromptPart> parts;
+  uint32_t prompt_tokens = 0;
+  Time started;
+  bool found_idle = false;  // Nothing was unread there when it began.
+  bool has_first_event = false;
+};
+
+struct RunRequest {
+  const Route* route = nullptr;
+  ServiceName service;
+  uint32_t prompt_tokens = 0;
+  std::vector<PromptPart> parts;
+  Duration time_left{0};
+  std::vector<UpstreamName> excluded;
+};
+
+using RunResult = std::variant<std::shared_ptr<Run>, Unplaced>;
+
+struct PeerState {
+  PeerDigest digest;
+  Time heard;
+};
+
+// Used from one thread; see docs/design/routing.md for why.
+class Router {
+ public:
+  explicit Router(RouterSettings settings);
+  Router(const Router&) = delete;
+  Router& operator=(const Router&) = delete;
+
+  // What is in force. A version that is not newer changes nothing; returns
+  // whether it was taken.
+  bool TakeConfig(std::shared_ptr<const RoutingConfig> config);
+  std::shared_ptr<const RoutingConfig> Config() const { return m_config; }
+  std::vector<UpstreamName> TakeUpstreamChanges(
+      const std::vector<UpstreamChange>& changes,
+      LogOffset as_of,
+      Time now);
+  std::vector<UpstreamName> TakeUpstreamList(
+      const std::vector<UpstreamChange>& listed,
+      LogOffset as_of,
+      Time now);
+  const UpstreamTable& Upstreams() const { return m_table; }
+  // The store did not answer, or answers again.
+  void HandleStoreState(bool answers, Time now);
+  bool IsReady() const;
+
+  // Requests.
+  void CountRequest(const ServiceName& service, Time now);
+  RunResult StartRun(const RunRequest& request, Time now);
+  // Whether one more upstream may be tried for a request of `service`.
+  bool MayRetry(const ServiceName& service, Time now);
+  void HandleFirstEvent(Run& run, Time now);
+  void EndRun(Run& run, RunOutcome outcome, Time now);
+  void NoteByte(Run& run, Time now) { run.upstream->health.last_byte = now; }
+
+  // Peers.
+  PeerDigest TakeDigestToSend(bool leaving, bool reads_store);
+  bool HasChangesToTell() const { return m_has_news; }
+  // Returns false for a digest that is older than one seen.
+  bool HandleDigest(const PeerDigest& digest, Time now);
+  const std::map<InstanceName, PeerState>& Peers() const { return m_peers; }
+  size_t LivePeers(Time now) const;
+
+  void Tick(Time now);
+  const RouterSettings& Settings() const { return m_settings; }
+  const EngineSpeed& Speed(const ServiceName& service);
+  std::vector<const UpstreamState*> AllUpstreams() const;
+
+ private:
+  std::vector<UpstreamState*> Candidates(const ServiceName& service, Time now);
+  void SyncStates(std::span<const UpstreamName> changed, Time now);
+  void DropPeerUses(const InstanceName& peer);
+
+  const RouterSettings m_settings;
+  std::shared_ptr<const RoutingConfig> m_config;
+  UpstreamTable m_table;
+  std::unordered_map<UpstreamName, std::shared_ptr<UpstreamState>> m_states;
+  std::map<ServiceName, std::vector<UpstreamState*>> m_by_service;
+  // Gone by the table, but kept in use for the lapse grace.
+  std::map<UpstreamName, Time> m_lapsed_until;
+  bool m_store_answers = true;
+  Time m_store_back;
+  std::map<ServiceName, RetryAllowance> m_allowances;
+  std::map<ServiceName, EngineSpeed> m_speeds;
+  std::map<InstanceName, PeerState> m_peers;
+  std::vector<std::pair<UpstreamName, uint64_t>> m_parts_to_tell;
+  uint64_t m_digest_sequence = 0;
+  bool m_has_news = false;
+  uint64_t m_random;
+};
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_ROUTING_ROUTER_H_
--- /dev/null
+++ b/src/routing/routing_config.cc
@@ -0,0 +1,75 @@
+#include "routing/routing_config.h"
+
+#include <algorithm>
+
+namespace pomeloring {
+namespace {
+
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(), [](char c) {
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+  });
+  return lower;
+}
+
+}  // namespace
+
+void IndexRoutes(RoutingConfig& config) {
+  config.routes_by_host.clear();
+  for (size_t i = 0; i < config.routes.size(); ++i) {
+    config.routes_by_host[LowerCase(config.routes[i].host)].push_back(i);
+  }
+  for (auto& [host, indices] : config.routes_by_host) {
+    std::stable_sort(indices.begin(), indices.end(), [&](size_t a, size_t b) {
+      return config.routes[a].path_prefix.size() >
+             config.routes[b].path_prefix.size();
+    });
+  }
+}
+
+const Route* FindRoute(const RoutingConfig& config,
+                       std::string_view host,
+                       std::string_view target) {
+  const auto found =
+      config.routes_by_host.find(LowerCase(host.substr(0, host.find(':'))));
+  if (found == config.routes_by_host.end()) {
+    return nullptr;
+  }
+  const std::string_view path = target.substr(0, target.find('?'));
+  for (const size_t index : found->second) {
+    if (path.starts_with(config.routes[index].path_prefix)) {
+      return &config.routes[index];
+    }
+  }
+  return nullptr;
+}
+
+const RoutedAccount* FindAccount(const RoutingConfig& config,
+                                 std::string_view key) {
+  const auto found = config.account_by_key.find(std::string(key));
+  return found == config.account_by_key.end() ? nullptr
+                                              : &config.accounts[found->second];
+}
+
+const ServiceName& ServiceFor(const Route& route, uint64_t hash) {
+  uint64_t total = 0;
+  for (const WeightedService& part : route.services) {
+    total += part.weight;
+  }
+  uint64_t place = total == 0 ? 0 : hash % total;
+  for (const WeightedService& part : route.services) {
+    if (place < part.weight) {
+      return part.service;
+    }
+    place -= part.weight;
+  }
+  return route.services.front().service;
+}
+
+bool MayRepeat(const Route& route) {
+  return route.kind == RouteKind::kIdempotent ||
+         (route.kind == RouteKind::kStreaming && route.resumable);
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/routing/routing_config.h
@@ -0,0 +1,106 @@
+// Defines RoutingConfig: the routes, services, client accounts and limits that
+// pass-through routing follows.
+
+#ifndef POMELORING_ROUTING_ROUTING_CONFIG_H_
+#define POMELORING_ROUTING_ROUTING_CONFIG_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/ids.h"
+
+namespace pomeloring {
+
+// What may be repeated of a route's requests, and how they are answered.
+enum class RouteKind {
+  kIdempotent,
+  kNonIdempotent,
+  kStreaming,
+};
+
+struct WeightedService {
+  ServiceName service;
+  uint32_t weight = 1;
+};
+
+struct Route {
+  std::string name;
+  std::string host;
+  std::string path_prefix;  // Begins and ends with a slash.
+  RouteKind kind = RouteKind::kNonIdempotent;
+  Duration timeout{0};         // For the whole answer; zero: none.
+  Duration latency_target{0};  // To the answer, or a stream's first event.
+  Duration pause_target{0};    // Between a stream's events; zero: none.
+  uint32_t priority = 0;       // 0 is the highest.
+  std::vector<WeightedService> services;
+  uint32_t max_attempts = 1;
+  bool allow_anonymous = false;
+  // A stream may be run again from the event after the last one seen.
+  bool resumable = false;
+};
+
+// Of a service whose upstreams are model engines.
+struct EngineTraits {
+  uint32_t batch_slots = 1;
+  uint64_t memory_tokens = 0;
+  uint32_t tokens_per_event = 1;
+};
+
+struct RoutedService {
+  ServiceName name;
+  std::string health_path;
+  uint32_t max_connections = 0;  // To one upstream, from all instances.
+  std::optional<EngineTraits> engine;
+};
+
+struct RoutedAccount {
+  AccountName name;
+  uint32_t priority = 0;  // Goes before the priority of the route.
+};
+
+struct ClientLimits {
+  uint32_t header_bytes = 16 * 1024;
+  uint64_t body_bytes = uint64_t{4} * 1024 * 1024;
+  Duration header_timeout = seconds(3);
+  Duration idle_timeout = seconds(15);
+};
+
+struct RoutingConfig {
+  uint64_t version = 0;
+  std::vector<Route> routes;
+  std::map<ServiceName, RoutedService> services;
+  std::vector<RoutedAccount> accounts;
+  std::unordered_map<std::string, size_t> account_by_key;
+  ClientLimits limits;
+  // Route indices by host, the longest prefix first; see IndexRoutes().
+  std::unordered_map<std::string, std::vector<size_t>> routes_by_host;
+};
+
+// Fills `routes_by_host`; hosts are matched without regard to case.
+void IndexRoutes(RoutingConfig& config);
+
+// Returns the route of `host` with the longest prefix of `target`'s path, or
+// null. A port in `host` and a query in `target` are passed over.
+const Route* FindRoute(const RoutingConfig& config,
+                       std::string_view host,
+                       std::string_view target);
+
+// Returns the account that holds `key`, or null.
+const RoutedAccount* FindAccount(const RoutingConfig& config,
+                                 std::string_view key);
+
+// Picks one of the route's services by weight; the same `hash` always gives the
+// same one.
+const ServiceName& ServiceFor(const Route& route, uint64_t hash);
+
+// Whether a request of this route may run more than once.
+bool MayRepeat(const Route& route);
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_ROUTING_ROUTING_CONFIG_H_
--- /dev/null
+++ b/src/routing/upstream_state.h
@@ -0,0 +1,84 @@
+// Defines UpstreamState: what this instance knows of one upstream beyond its
+// registration: load, health and the prompt parts that it keeps.
+
+#ifndef POMELORING_ROUTING_UPSTREAM_STATE_H_
+#define POMELORING_ROUTING_UPSTREAM_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <unordered_map>
+
+#include "core/ids.h"
+#include "routing/upstream_table.h"
+
+namespace pomeloring {
+
+// A part of a prompt that several requests may share.
+struct PromptPart {
+  uint64_t id = 0;
+  uint32_t tokens = 0;
+};
+
+// What runs at an upstream, of one instance or of several together.
+struct UpstreamUse {
+  uint32_t running = 0;
+  uint64_t unread_tokens = 0;    // Of runs without a first event.
+  uint32_t pause_sensitive = 0;  // Runs that a long prompt beside them delays.
+};
+
+struct UpstreamHealth {
+  double failure_share = 0;  // Moving average over the last runs.
+  double latency_ratio = 1;  // Seen against expected, moving average.
+  uint32_t samples = 0;
+  uint32_t consecutive_failures = 0;
+  Time ejected_until;
+  bool is_trial = false;  // Back from an ejection; takes one run at a time.
+  Time last_byte;         // From this upstream, over any connection.
+};
+
+struct UpstreamState {
+  UpstreamRecord record;
+  bool is_gone = false;
+  Time first_seen;
+  UpstreamUse own;
+  std::map<InstanceName, UpstreamUse> of_peers;
+  UpstreamHealth health;
+  std::unordered_map<uint64_t, Time> cached_parts;  // By id: last use.
+};
+
+// What all instances run there, as far as is known.
+UpstreamUse TotalUse(const UpstreamState& upstream);
+
+// Returns how many tokens at the front of the prompt the upstream keeps.
+uint32_t CachedTokens(const UpstreamState& upstream,
+                      std::span<const PromptPart> parts);
+
+// Remembers that the upstream has the parts; forgets the oldest beyond a bound.
+void RememberParts(UpstreamState& upstream,
+                   std::span<const PromptPart> parts,
+                   Time now);
+
+enum class RunOutcome {
+  kServed,
+  kFailed,       // The upstream failed it, or broke off.
+  kUnreachable,  // No connection, or no sign of life.
+  kRefused,      // The upstream was full or leaving.
+  kCancelled,    // The client left, or its time was up.
+};
+
+// Takes in how one run ended. `latency_ratio` is seen over expected, or 0 where
+// nothing was measured.
+void LearnOutcome(UpstreamHealth& health,
+                  RunOutcome outcome,
+                  double latency_ratio,
+                  Time now);
+
+// Ejects upstreams of one service that fail or lag much more than their
+// siblings, but never more than a third of them.
+void EjectOutliers(std::span<UpstreamState* const> siblings, Time now);
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_ROUTING_UPSTREAM_STATE_H_
