Drop the torn event of a lost run before its stream goes on

Ruled out: a foreign reply (ids matched), a wrong resume offset. The test fails before and passes after.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -312,6 +312,7 @@
 
 asio::awaitable<bool> Exchange::BeginStream(const PassedReply& head) {
   if (m_stream_begun) {
+    m_events->StartNextRun();
     co_return true;  // Goes on with the head of its first run.
   }
   m_stream_begun = true;
--- a/src/routing/event_splitter.cc
+++ b/src/routing/event_splitter.cc
@@ -64,4 +64,8 @@
   return out;
 }
 
+void EventSplitter::StartNextRun() {
+  m_rest.clear();
+}
+
 }  // namespace pomeloring
--- a/src/routing/event_splitter.h
+++ b/src/routing/event_splitter.h
@@ -26,6 +26,8 @@
 
   // Returns the events that `bytes` completes.
   WholeEvents Feed(std::string_view bytes);
+  // The run whose bytes were fed has ended; those of the next one follow.
+  void StartNextRun();
   bool HasPartialEvent() const { return !m_rest.empty(); }
   std::optional<uint64_t> LastId() const { return m_last_id; }
 
--- /dev/null
+++ b/test/routing/resumed_stream_drops_the_torn_event_test.cc
@@ -0,0 +1,38 @@
+// A stream that broke off within an event goes on at another upstream: what was
+// read of the torn event must not stand before the events of the second run.
+
+#include <doctest/doctest.h>
+
+#include "routing/event_splitter.h"
+
+namespace pomeloring {
+namespace {
+
+TEST_CASE("The torn event of a lost run is not joined with the next run") {
+  EventSplitter events(std::nullopt);
+  CHECK(events.Feed("id: 1\ndata: a\n\nid: 2\nda").bytes ==
+        "id: 1\ndata: a\n\n");
+  events.StartNextRun();
+  CHECK(events.LastId() == 1);
+  const WholeEvents resumed = events.Feed("id: 2\ndata: b\n\n");
+  CHECK(resumed.bytes == "id: 2\ndata: b\n\n");
+  CHECK_FALSE(resumed.out_of_order);
+  CHECK_FALSE(events.HasPartialEvent());
+}
+
+TEST_CASE("An event that came already is out of order") {
+  EventSplitter events(uint64_t{4});
+  CHECK(events.Feed("id: 4\ndata: a\n\n").out_of_order);
+}
+
+TEST_CASE("Events end at an empty line, with or without carriage returns") {
+  EventSplitter events(std::nullopt);
+  CHECK(events.Feed("id: 1\r\ndata: a\r\n\r\n").count == 1);
+  CHECK(events.Feed("id: 2\ndata: b\n").bytes.empty());
+  CHECK(events.HasPartialEvent());
+  CHECK(events.Feed("\n").count == 1);
+  CHECK(events.LastId() == 2);
+}
+
+}  // namespace
+}  // namespace pomeloring
