Weigh reading again in placement; wait for readiness after a start

Ruled out: slow answers of the store (8 ms from the call to the configuration).

Reading again counts three times in placement; the first list is read at once; a request that comes within the first 300 ms waits for the configuration.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -30,6 +30,13 @@
 // free for instances that this one does not know of.
 constexpr double kConnectionShare = 0.9;
 
+constexpr Duration kReadyPatience = milliseconds(300);
+constexpr milliseconds kReadyPoll{10};
+
+auto Await(error_code& error) {
+  return asio::redirect_error(asio::use_awaitable, error);
+}
+
 double Millis(Duration duration) {
   return static_cast<double>(duration.count()) / 1000;
 }
@@ -61,7 +68,6 @@
       m_client(std::move(client)),
       m_request(std::move(request)),
       m_received(Now()),
-      m_config(parts.router.Config()),
       m_deadline(parts.context) {}
 
 Duration Exchange::TimeLeft() const {
@@ -97,7 +103,8 @@
         fmt::format("{} must be {}", malformed->name, malformed->expected)};
   }
   m_facts = std::get<RequestFacts>(std::move(facts));
-  if (!m_parts.router.IsReady() || !m_config) {
+  m_config = m_parts.router.Config();
+  if (!m_parts.router.IsReady()) {
     return OwnReply{503, "not-ready", "this instance has no configuration yet",
                     kUpstreamRetryAfter};
   }
@@ -124,8 +131,21 @@
   return std::nullopt;
 }
 
+// An instance that has just started knows its configuration within some tens of
+// milliseconds: a caller that waits for it is served sooner than one that is
+// told to come back.
+asio::awaitable<void> Exchange::AwaitReadiness() {
+  const Time until = m_received + kReadyPatience;
+  while (!m_parts.router.IsReady() && Now() < until) {
+    error_code ignored;
+    m_deadline.expires_after(kReadyPoll);
+    co_await m_deadline.async_wait(Await(ignored));
+  }
+}
+
 asio::awaitable<bool> Exchange::Serve() {
   const auto self = shared_from_this();
+  co_await AwaitReadiness();
   if (auto refusal = Admit()) {
     co_await Answer(std::move(*refusal));
     LogEnd();
@@ -332,11 +352,15 @@
     co_return true;
   }
   if (events.count > 0) {
+    const Time now = Now();
     if (m_first_byte.count() == 0) {
-      m_first_byte = Now() - m_received;
+      m_first_byte = now - m_received;
       ObserveFirstByte(m_parts.metrics, m_route->name, m_first_byte);
+    } else {
+      m_longest_pause = std::max(m_longest_pause, now - m_last_event);
     }
-    m_parts.router.HandleFirstEvent(*m_placed, Now());
+    m_last_event = now;
+    m_parts.router.HandleFirstEvent(*m_placed, now);
   }
   std::string chunk = WriteChunk(events.bytes);
   co_return co_await m_client->Write(std::move(chunk));
@@ -435,6 +459,7 @@
        {"runs", std::to_string(m_runs)},
        {"upstream", m_placed ? m_placed->upstream->record.id.value : ""},
        {"first_ms", fmt::format("{:.0f}", Millis(m_first_byte))},
+       {"pause_ms", fmt::format("{:.0f}", Millis(m_longest_pause))},
        {"total_ms", fmt::format("{:.0f}", Millis(Now() - m_received))},
        {"config", std::to_string(m_config ? m_config->version : 0)}});
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -35,6 +35,7 @@
     std::string reason;
   };
 
+  boost::asio::awaitable<void> AwaitReadiness();
   std::optional<OwnReply> Admit();
   boost::asio::awaitable<void> RunToEnd();
   boost::asio::awaitable<RunEnd> RunOnce(std::shared_ptr<Run> run);
@@ -81,6 +82,8 @@
   PassedReply m_last_reply;
   Ending m_ending;
   Duration m_first_byte{0};
+  Duration m_longest_pause{0};  // Between two events.
+  Time m_last_event;
 
   std::shared_ptr<UpstreamRun> m_run;  // The one under way.
   std::shared_ptr<Run> m_placed;
--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -26,8 +26,6 @@
 constexpr milliseconds kFailurePause{250};
 // A reader without an answer for this long no longer counts as one.
 constexpr Duration kAnswerLifetime = milliseconds(2200);
-// Time for the first digests, before this instance reads because no peer does.
-constexpr Duration kStartPatience = milliseconds(150);
 
 asio::awaitable<void> Sleep(asio::io_context& context, milliseconds length) {
   boost::system::error_code ignored;
@@ -37,8 +35,7 @@
 
 }  // namespace
 
-StoreFeed::StoreFeed(StoreFeedParts parts)
-    : m_parts(std::move(parts)), m_started(Now()) {
+StoreFeed::StoreFeed(StoreFeedParts parts) : m_parts(std::move(parts)) {
   m_needs_list[StoreTopic::kConfiguration] = true;
   m_needs_list[StoreTopic::kUpstreams] = true;
 }
@@ -57,7 +54,7 @@
       ++readers_before;
     }
   }
-  return readers_before < kReaders && now - m_started > kStartPatience;
+  return readers_before < kReaders;
 }
 
 void StoreFeed::NoteAnswer(bool answered,
--- a/src/gateway/store_feed.h
+++ b/src/gateway/store_feed.h
@@ -73,7 +73,6 @@
   std::set<std::string> m_unreadable;  // Logged already.
   std::map<StoreTopic, LogOffset> m_next;
   std::map<StoreTopic, bool> m_needs_list;
-  Time m_started;
   Time m_last_answer;
   bool m_answers = false;
   bool m_was_answering = true;
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -23,6 +23,9 @@
 constexpr double kExposureWeight = 4;
 // Beyond the latency target an answer loses most of its value.
 constexpr double kLateWeight = 4;
+// Reading again what another upstream keeps takes its time from all others that
+// wait for an engine; this many times what the request itself waits for it.
+constexpr double kRereadWeight = 3;
 // Crossing failure domains costs bytes; worth this much waiting.
 constexpr double kOtherDomainMs = 12;
 // A run that waits for a slot waits for others to end; a tenth of their usual
@@ -56,7 +59,8 @@
                         const EngineTraits& engine,
                         const UpstreamState& upstream,
                         const EngineSpeed& speed,
-                        bool sensitive) {
+                        bool sensitive,
+                        uint32_t most_cached) {
   const UpstreamUse use = TotalUse(upstream);
   const uint32_t cached =
       std::min(CachedTokens(upstream, request.parts), request.prompt_tokens);
@@ -70,6 +74,9 @@
     estimate.start_ms += kQueuedRunMs * (use.running - engine.batch_slots + 1);
   }
   estimate.cost_ms = estimate.start_ms + kCostPerRunMs * use.running;
+  if (cached < most_cached) {
+    estimate.cost_ms += kRereadWeight * (most_cached - cached) / rate;
+  }
   if (sensitive && static_cast<double>(use.unread_tokens) > kChunkTokens) {
     estimate.cost_ms += kExposureWeight * backlog_ms;
   }
@@ -79,6 +86,15 @@
   return estimate;
 }
 
+uint32_t MostCached(const PlacementRequest& request,
+                    std::span<UpstreamState* const> candidates) {
+  uint32_t most = 0;
+  for (const UpstreamState* upstream : candidates) {
+    most = std::max(most, CachedTokens(*upstream, request.parts));
+  }
+  return std::min(most, request.prompt_tokens);
+}
+
 Estimate EstimatePlain(const UpstreamState& upstream) {
   const UpstreamUse use = TotalUse(upstream);
   const uint32_t slots = std::max(1U, upstream.record.slots);
@@ -113,6 +129,7 @@
   const bool sensitive =
       engine && IsPauseSensitive(*request.route, *engine, speed);
   const double target_ms = Millis(request.route->latency_target);
+  const uint32_t most_cached = MostCached(request, candidates);
   std::optional<Estimate> best;
   UpstreamState* chosen = nullptr;
   double soonest_ms = 0;
@@ -129,9 +146,9 @@
     if (now < upstream->health.ejected_until || on_trial) {
       continue;
     }
-    Estimate estimate =
-        engine ? EstimateEngine(request, *engine, *upstream, speed, sensitive)
-               : EstimatePlain(*upstream);
+    Estimate estimate = engine ? EstimateEngine(request, *engine, *upstream,
+                                                speed, sensitive, most_cached)
+                               : EstimatePlain(*upstream);
     if (target_ms > 0 && estimate.start_ms > target_ms) {
       estimate.cost_ms += kLateWeight * (estimate.start_ms - target_ms);
     }
