--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -25,7 +25,7 @@
 constexpr double kLateWeight = 4;
 // Reading again what another upstream keeps takes its time from all others that
 // wait for an engine; this many times what the request itself waits for it.
-constexpr double kRereadWeight = 3;
+constexpr double kRereadWeight = 8;
 // Crossing failure domains costs bytes; worth this much waiting.
 constexpr double kOtherDomainMs = 12;
 // A run that waits for a slot waits for others to end; a tenth of their usual
