--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -21,6 +21,7 @@
     entry.set_running(use.running);
     entry.set_unread_tokens(use.unread_tokens);
     entry.set_pause_sensitive(use.pause_sensitive);
+    entry.set_read_load(static_cast<float>(use.read_load));
   }
   for (const auto& [name, part] : digest.cached_parts) {
     wire::CachedPart& entry = *out.add_cached_parts();
@@ -47,9 +48,10 @@
   digest.upstreams_changed_at.value = in.upstreams_changed_at();
   digest.reads_store = in.reads_store();
   for (const wire::UpstreamUse& entry : in.uses()) {
-    digest.uses.emplace_back(UpstreamName{entry.upstream()},
-                             UpstreamUse{entry.running(), entry.unread_tokens(),
-                                         entry.pause_sensitive()});
+    digest.uses.emplace_back(
+        UpstreamName{entry.upstream()},
+        UpstreamUse{entry.running(), entry.unread_tokens(),
+                    entry.pause_sensitive(), entry.read_load()});
   }
   for (const wire::CachedPart& entry : in.cached_parts()) {
     digest.cached_parts.emplace_back(UpstreamName{entry.upstream()},
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -106,8 +106,8 @@
 
 void PeerExchange::SendDigest() {
   const Time now = Now();
-  const PeerDigest digest =
-      m_parts.router.TakeDigestToSend(m_leaving, m_parts.feed.ReadsStore(now));
+  const PeerDigest digest = m_parts.router.TakeDigestToSend(
+      m_leaving, m_parts.feed.ReadsStore(now), now);
   const std::string bytes = std::string(1, kDigestTag) + EncodeDigest(digest);
   for (const auto& [name, known] : m_members.members) {
     if (known.member.status == MemberStatus::kAlive ||
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -49,8 +49,20 @@
   return Duration{static_cast<int64_t>(ms * 1000)};
 }
 
+// The share of an engine's time that may go into reading prompts when a request
+// of a priority is added. A step that reads a chunk takes ten times as long as
+// one that does not: beyond it, the streams that run there miss their deadlines
+// and hold their slots the longer.
+constexpr double kHighestReadShare = 1.2;
+constexpr double kReadShareStep = 0.15;  // Less for each lower priority.
+constexpr double kMinReadShare = 0.55;
+// Cost of a fully busy reader to a stream that joins it.
+constexpr double kReadShareCostMs = 150;
+constexpr Duration kMinRetryAfter = milliseconds(100);
+
 struct Estimate {
   double start_ms = 0;
+  double read_share = 0;  // Of the engine's time, before this request.
   double cost_ms = 0;
   uint32_t unread = 0;
 };
@@ -74,6 +86,8 @@
     estimate.start_ms += kQueuedRunMs * (use.running - engine.batch_slots + 1);
   }
   estimate.cost_ms = estimate.start_ms + kCostPerRunMs * use.running;
+  estimate.read_share = use.read_load / (rate * Millis(kReadLoadTime));
+  estimate.cost_ms += kReadShareCostMs * estimate.read_share;
   if (cached < most_cached) {
     estimate.cost_ms += kRereadWeight * (most_cached - cached) / rate;
   }
@@ -86,6 +100,26 @@
   return estimate;
 }
 
+double MaxReadShare(uint32_t priority) {
+  return std::max(kMinReadShare, kHighestReadShare - kReadShareStep * priority);
+}
+
+// How long until an engine's read share has faded to `max`, or 0.
+double MsUntilShare(double share, double max) {
+  return share <= max ? 0 : Millis(kReadLoadTime) * std::log(share / max);
+}
+
+bool IsUsable(const UpstreamState& upstream,
+              const PlacementRequest& request,
+              Time now) {
+  const bool is_excluded =
+      std::find(request.excluded.begin(), request.excluded.end(),
+                upstream.record.id) != request.excluded.end();
+  const bool on_trial =
+      upstream.health.is_trial && TotalUse(upstream).running > 0;
+  return !is_excluded && !on_trial && now >= upstream.health.ejected_until;
+}
+
 uint32_t MostCached(const PlacementRequest& request,
                     std::span<UpstreamState* const> candidates) {
   uint32_t most = 0;
@@ -129,45 +163,45 @@
   const bool sensitive =
       engine && IsPauseSensitive(*request.route, *engine, speed);
   const double target_ms = Millis(request.route->latency_target);
+  const double latest_ms = kLatestStartShare * Millis(request.time_left);
+  const double max_share = MaxReadShare(request.route->priority);
   const uint32_t most_cached = MostCached(request, candidates);
   std::optional<Estimate> best;
   UpstreamState* chosen = nullptr;
-  double soonest_ms = 0;
-  size_t usable = 0;
+  std::optional<double> soonest_ms;  // Until one could take the request.
   const size_t offset = candidates.empty() ? 0 : random % candidates.size();
   for (size_t i = 0; i < candidates.size(); ++i) {
     UpstreamState* upstream = candidates[(i + offset) % candidates.size()];
-    if (std::find(request.excluded.begin(), request.excluded.end(),
-                  upstream->record.id) != request.excluded.end()) {
-      continue;
-    }
-    const bool on_trial =
-        upstream->health.is_trial && TotalUse(*upstream).running > 0;
-    if (now < upstream->health.ejected_until || on_trial) {
+    if (!IsUsable(*upstream, request, now)) {
       continue;
     }
     Estimate estimate = engine ? EstimateEngine(request, *engine, *upstream,
                                                 speed, sensitive, most_cached)
                                : EstimatePlain(*upstream);
+    const double wait_ms =
+        std::max(estimate.start_ms - latest_ms,
+                 MsUntilShare(estimate.read_share, max_share));
+    soonest_ms = soonest_ms ? std::min(*soonest_ms, wait_ms) : wait_ms;
+    if (wait_ms > 0) {
+      continue;
+    }
     if (target_ms > 0 && estimate.start_ms > target_ms) {
       estimate.cost_ms += kLateWeight * (estimate.start_ms - target_ms);
     }
     if (upstream->record.failure_domain != request.failure_domain) {
       estimate.cost_ms += kOtherDomainMs;
     }
-    soonest_ms = usable == 0 ? estimate.start_ms
-                             : std::min(soonest_ms, estimate.start_ms);
-    ++usable;
     if (!best || estimate.cost_ms < best->cost_ms) {
       best = estimate;
       chosen = upstream;
     }
   }
-  if (chosen == nullptr) {
-    return Unplaced{PlacementRefusal::kNoUpstream, milliseconds(300)};
+  if (!soonest_ms) {
+    return Unplaced{PlacementRefusal::kNoUpstream, kMinRetryAfter};
   }
-  if (best->start_ms > kLatestStartShare * Millis(request.time_left)) {
-    return Unplaced{PlacementRefusal::kOverloaded, FromMillis(soonest_ms / 2)};
+  if (chosen == nullptr) {
+    return Unplaced{PlacementRefusal::kOverloaded,
+                    std::max(kMinRetryAfter, FromMillis(*soonest_ms))};
   }
   return Placement{chosen, best->unread, sensitive, FromMillis(best->start_ms)};
 }
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -7,6 +7,8 @@
 
 // Of prompt parts in one digest, so that it fits one datagram.
 constexpr size_t kMaxPartsPerDigest = 40;
+// Less says nothing of an upstream's next seconds.
+constexpr double kMinToldReadLoad = 500;
 // How long a peer that is not heard of is remembered.
 constexpr Duration kForgetPeer = seconds(60);
 
@@ -136,6 +138,9 @@
     return Unplaced{PlacementRefusal::kNoUpstream, milliseconds(300)};
   }
   const auto candidates = Candidates(request.service, now);
+  for (UpstreamState* candidate : candidates) {
+    AddReadLoad(*candidate, 0, now);
+  }
   const PlacementRequest wanted{
       request.route,         &service->second, m_settings.failure_domain,
       request.prompt_tokens, request.parts,    request.time_left,
@@ -157,6 +162,7 @@
   UpstreamUse& own = run->upstream->own;
   ++own.running;
   own.unread_tokens += run->placement.unread_tokens;
+  AddReadLoad(*run->upstream, run->placement.unread_tokens, now);
   own.pause_sensitive += run->placement.pause_sensitive ? 1 : 0;
   // Known before it is read: a second request with the same parts that follows
   // at once is best placed behind the first.
@@ -195,7 +201,7 @@
 
 // --- Peers -------------------------------------------------------------------
 
-PeerDigest Router::TakeDigestToSend(bool leaving, bool reads_store) {
+PeerDigest Router::TakeDigestToSend(bool leaving, bool reads_store, Time now) {
   PeerDigest digest;
   digest.sender = m_settings.name;
   digest.incarnation = m_settings.incarnation;
@@ -207,7 +213,8 @@
   digest.upstreams_changed_at = m_table.changed_at;
   digest.reads_store = reads_store;
   for (const auto& [name, state] : m_states) {
-    if (state->own.running > 0) {
+    AddReadLoad(*state, 0, now);
+    if (state->own.running > 0 || state->own.read_load > kMinToldReadLoad) {
       digest.uses.emplace_back(name, state->own);
     }
   }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -97,7 +97,7 @@
   void NoteByte(Run& run, Time now) { run.upstream->health.last_byte = now; }
 
   // Peers.
-  PeerDigest TakeDigestToSend(bool leaving, bool reads_store);
+  PeerDigest TakeDigestToSend(bool leaving, bool reads_store, Time now);
   bool HasChangesToTell() const { return m_has_news; }
   // Returns false for a digest that is older than one seen.
   bool HandleDigest(const PeerDigest& digest, Time now);
--- a/src/routing/upstream_state.cc
+++ b/src/routing/upstream_state.cc
@@ -1,6 +1,7 @@
 #include "routing/upstream_state.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace pomeloring {
@@ -35,10 +36,20 @@
     total.running += use.running;
     total.unread_tokens += use.unread_tokens;
     total.pause_sensitive += use.pause_sensitive;
+    total.read_load += use.read_load;
   }
   return total;
 }
 
+void AddReadLoad(UpstreamState& upstream, double tokens, Time now) {
+  const auto elapsed =
+      static_cast<double>((now - upstream.read_load_at).count());
+  upstream.own.read_load *=
+      std::exp(-elapsed / static_cast<double>(kReadLoadTime.count()));
+  upstream.own.read_load += tokens;
+  upstream.read_load_at = now;
+}
+
 uint32_t CachedTokens(const UpstreamState& upstream,
                       std::span<const PromptPart> parts) {
   uint32_t cached = 0;
--- a/src/routing/upstream_state.h
+++ b/src/routing/upstream_state.h
@@ -26,8 +26,13 @@
   uint32_t running = 0;
   uint64_t unread_tokens = 0;    // Of runs without a first event.
   uint32_t pause_sensitive = 0;  // Runs that a long prompt beside them delays.
+  // Prompt tokens that were sent there to be read, fading with kReadLoadTime.
+  double read_load = 0;
 };
 
+// Over about this time, reading prompts takes turns with the running batch.
+inline constexpr Duration kReadLoadTime = seconds(3);
+
 struct UpstreamHealth {
   double failure_share = 0;  // Moving average over the last runs.
   double latency_ratio = 1;  // Seen against expected, moving average.
@@ -43,6 +48,7 @@
   bool is_gone = false;
   Time first_seen;
   UpstreamUse own;
+  Time read_load_at;  // Of `own.read_load`.
   std::map<InstanceName, UpstreamUse> of_peers;
   UpstreamHealth health;
   std::unordered_map<uint64_t, Time> cached_parts;  // By id: last use.
@@ -51,6 +57,9 @@
 // What all instances run there, as far as is known.
 UpstreamUse TotalUse(const UpstreamState& upstream);
 
+// Lets the own read load fade up to `now`, and adds `tokens` to it.
+void AddReadLoad(UpstreamState& upstream, double tokens, Time now);
+
 // Returns how many tokens at the front of the prompt the upstream keeps.
 uint32_t CachedTokens(const UpstreamState& upstream,
                       std::span<const PromptPart> parts);
