--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -15,12 +15,14 @@
 // Cost of each run in the batch to a newcomer, by the step time per slot over
 // some 20 events.
 constexpr double kCostPerRunMs = 1.5;
-// A millisecond that a long prompt takes from each pause-sensitive run beside
-// it counts as much as this many of its own.
-constexpr double kInterferenceWeight = 0.5;
-// A pause-sensitive run beside unread prompts loses its pause target for as
-// long as they are read.
-constexpr double kExposureWeight = 4;
+// A run that misses its pause target loses most of its value: as much as one
+// that starts this much too late.
+constexpr double kBrokenPauseMs = 500;
+// Of the steps of one event, those that may read a chunk without harm.
+constexpr double kHarmlessShare = 0.3;
+// Cost of a fully busy reader to a pause-sensitive run that joins it: what is
+// read next is not known yet.
+constexpr double kSensitiveReadShareMs = 300;
 // Beyond the latency target an answer loses most of its value.
 constexpr double kLateWeight = 4;
 // Reading again what another upstream keeps takes its time from all others that
@@ -67,6 +69,15 @@
   uint32_t unread = 0;
 };
 
+// How likely it is that `unread` tokens, read in one go, break the pause target
+// of a run beside them: an event takes a step for each of its tokens, and each
+// chunk holds one step up.
+double BrokenPauseShare(double unread, const EngineTraits& engine) {
+  const double chunks = unread / kChunkTokens;
+  return std::clamp(chunks / engine.tokens_per_event - kHarmlessShare, 0.0,
+                    1.0);
+}
+
 Estimate EstimateEngine(const PlacementRequest& request,
                         const EngineTraits& engine,
                         const UpstreamState& upstream,
@@ -91,12 +102,15 @@
   if (cached < most_cached) {
     estimate.cost_ms += kRereadWeight * (most_cached - cached) / rate;
   }
-  if (sensitive && static_cast<double>(use.unread_tokens) > kChunkTokens) {
-    estimate.cost_ms += kExposureWeight * backlog_ms;
-  }
-  if (estimate.unread > kChunkTokens) {
-    estimate.cost_ms += kInterferenceWeight * use.pause_sensitive * read_ms;
+  const auto unread = static_cast<double>(use.unread_tokens);
+  if (sensitive) {
+    estimate.cost_ms += kBrokenPauseMs * BrokenPauseShare(unread, engine) +
+                        kSensitiveReadShareMs * estimate.read_share;
   }
+  // Of the runs there, those that keep their pauses until this prompt comes.
+  estimate.cost_ms += kBrokenPauseMs * use.pause_sensitive *
+                      (BrokenPauseShare(unread + estimate.unread, engine) -
+                       BrokenPauseShare(unread, engine));
   return estimate;
 }
 
