--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -32,6 +32,8 @@
 
 constexpr Duration kReadyPatience = milliseconds(300);
 constexpr milliseconds kReadyPoll{10};
+// Loads of other instances are as old.
+constexpr milliseconds kPlacementPoll{20};
 
 auto Await(error_code& error) {
   return asio::redirect_error(asio::use_awaitable, error);
@@ -166,10 +168,18 @@
 
 asio::awaitable<void> Exchange::RunToEnd() {
   while (true) {
-    auto result = m_parts.router.StartRun(
-        RunRequest{m_route, m_service, m_facts.prompt_tokens, m_facts.parts,
-                   TimeLeft(), m_tried},
-        Now());
+    const Time now = Now();
+    const RunRequest wanted{
+        m_route,       m_service,        m_facts.prompt_tokens,
+        m_facts.parts, now - m_received, TimeLeft(),
+        m_tried};
+    auto result = m_parts.router.StartRun(wanted, now);
+    if (std::holds_alternative<Deferred>(result)) {
+      if (!co_await WaitToPlace()) {
+        co_return;
+      }
+      continue;
+    }
     if (auto* unplaced = std::get_if<Unplaced>(&result)) {
       co_await AnswerUnplaced(*unplaced);
       co_return;
@@ -202,6 +212,26 @@
   }
 }
 
+// Waits until the load may have changed; false where the request has ended
+// meanwhile.
+asio::awaitable<bool> Exchange::WaitToPlace() {
+  CountEvent(m_parts.metrics, "deferrals");
+  asio::steady_timer timer(m_parts.context, kPlacementPoll);
+  error_code ignored;
+  co_await timer.async_wait(Await(ignored));
+  if (m_client_gone) {
+    m_keep = false;
+    m_ending.outcome = "client-gone";
+    m_ending.reason = "waiting";
+    co_return false;
+  }
+  if (m_timed_out) {
+    co_await AnswerAfter(RunEnd::kStopped);
+    co_return false;
+  }
+  co_return true;
+}
+
 bool Exchange::MayTryAgain(RunEnd end) {
   const bool upstream_failed =
       end == RunEnd::kWhole && m_last_reply.status >= 500;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -39,6 +39,7 @@
   std::optional<OwnReply> Admit();
   boost::asio::awaitable<void> RunToEnd();
   boost::asio::awaitable<RunEnd> RunOnce(std::shared_ptr<Run> run);
+  boost::asio::awaitable<bool> WaitToPlace();
   std::string UpstreamBytes(const Run& run) const;
   UpstreamRun::Request UpstreamRequestFor(const Run& run) const;
   boost::asio::awaitable<bool> BeginStream(const PassedReply& head);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -66,7 +66,7 @@
         "pomeloring_upstream_running{{upstream=\"{0}\"}} {1}\n"
         "pomeloring_upstream_unread_tokens{{upstream=\"{0}\"}} {2}\n"
         "pomeloring_upstream_ejected{{upstream=\"{0}\"}} {3}\n",
-        upstream->record.id.value, use.running, use.unread_tokens,
+        upstream->record.id.value, use.running, UnreadTokens(use),
         now < upstream->health.ejected_until ? 1 : 0);
   }
   return out;
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -19,7 +19,9 @@
     wire::UpstreamUse& entry = *out.add_uses();
     entry.set_upstream(name.value);
     entry.set_running(use.running);
-    entry.set_unread_tokens(use.unread_tokens);
+    for (const uint64_t tokens : use.unread_tokens) {
+      entry.add_unread_tokens(tokens);
+    }
     entry.set_pause_sensitive(use.pause_sensitive);
     entry.set_read_load(static_cast<float>(use.read_load));
   }
@@ -48,10 +50,15 @@
   digest.upstreams_changed_at.value = in.upstreams_changed_at();
   digest.reads_store = in.reads_store();
   for (const wire::UpstreamUse& entry : in.uses()) {
-    digest.uses.emplace_back(
-        UpstreamName{entry.upstream()},
-        UpstreamUse{entry.running(), entry.unread_tokens(),
-                    entry.pause_sensitive(), entry.read_load()});
+    UpstreamUse use;
+    use.running = entry.running();
+    use.pause_sensitive = entry.pause_sensitive();
+    use.read_load = entry.read_load();
+    for (int i = 0; i < entry.unread_tokens_size(); ++i) {
+      const size_t rank = std::min(static_cast<size_t>(i), kUrgencyRanks - 1);
+      use.unread_tokens[rank] += entry.unread_tokens(i);
+    }
+    digest.uses.emplace_back(UpstreamName{entry.upstream()}, use);
   }
   for (const wire::CachedPart& entry : in.cached_parts()) {
     digest.cached_parts.emplace_back(UpstreamName{entry.upstream()},
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -9,17 +9,21 @@
 // Prompt tokens that an engine reads between two steps of the running batch.
 constexpr double kChunkTokens = 2048;
 // One step of a batch without prompts, about; see docs/design/routing.md.
-constexpr double kStepMs = 5;
-// Pauses vary: a target within this factor of the expected one is at risk.
-constexpr double kPauseMargin = 1.3;
+constexpr double kStepMs = 8;
 // Cost of each run in the batch to a newcomer, by the step time per slot over
 // some 20 events.
 constexpr double kCostPerRunMs = 1.5;
 // A run that misses its pause target loses most of its value: as much as one
 // that starts this much too late.
 constexpr double kBrokenPauseMs = 500;
-// Of the steps of one event, those that may read a chunk without harm.
-constexpr double kHarmlessShare = 0.3;
+// Of chunks read in one go, in events of a stream beside them: fewer never hold
+// up all steps of one event, and beyond the sum they surely do.
+constexpr double kHarmlessEvents = 0.8;
+constexpr double kHarmfulEvents = 0.4;
+// A request whose prompt would break the pauses of others waits for this share
+// of its latency target at the most.
+constexpr double kDeferShare = 0.3;
+constexpr double kMinHarmToDeferMs = 300;
 // Cost of a fully busy reader to a pause-sensitive run that joins it: what is
 // read next is not known yet.
 constexpr double kSensitiveReadShareMs = 300;
@@ -62,55 +66,69 @@
 constexpr double kReadShareCostMs = 150;
 constexpr Duration kMinRetryAfter = milliseconds(100);
 
+size_t RankOf(const Route& route) {
+  return std::min<size_t>(route.priority, kUrgencyRanks - 1);
+}
+
 struct Estimate {
   double start_ms = 0;
   double read_share = 0;  // Of the engine's time, before this request.
   double cost_ms = 0;
+  double harm_ms = 0;  // Of the cost: to runs that are there already.
   uint32_t unread = 0;
+  bool pause_sensitive = false;
 };
 
-// How likely it is that `unread` tokens, read in one go, break the pause target
-// of a run beside them: an event takes a step for each of its tokens, and each
-// chunk holds one step up.
+// The longest pause of a stream while prompts are read without a break: an
+// event takes a step for each of its tokens, and each step reads a chunk.
+double LongestPauseMs(const EngineTraits& engine, double rate) {
+  return engine.tokens_per_event * (kChunkTokens / rate + kStepMs);
+}
+
+// How likely it is that `unread` tokens, read in one go, hold up all steps of
+// one event.
 double BrokenPauseShare(double unread, const EngineTraits& engine) {
-  const double chunks = unread / kChunkTokens;
-  return std::clamp(chunks / engine.tokens_per_event - kHarmlessShare, 0.0,
-                    1.0);
+  const double events = unread / kChunkTokens / engine.tokens_per_event;
+  return std::clamp((events - kHarmlessEvents) / kHarmfulEvents, 0.0, 1.0);
 }
 
 Estimate EstimateEngine(const PlacementRequest& request,
                         const EngineTraits& engine,
                         const UpstreamState& upstream,
                         const EngineSpeed& speed,
-                        bool sensitive,
                         uint32_t most_cached) {
   const UpstreamUse use = TotalUse(upstream);
   const uint32_t cached =
       std::min(CachedTokens(upstream, request.parts), request.prompt_tokens);
+  const double rate = speed.tokens_per_ms / upstream.health.latency_ratio;
+  const auto unread = static_cast<double>(UnreadTokens(use));
   Estimate estimate;
   estimate.unread = request.prompt_tokens - cached;
-  const double rate = speed.tokens_per_ms / upstream.health.latency_ratio;
-  const double backlog_ms = static_cast<double>(use.unread_tokens) / rate;
-  const double read_ms = estimate.unread / rate;
-  estimate.start_ms = backlog_ms + read_ms;
+  const auto before =
+      static_cast<double>(UnreadUpTo(use, RankOf(*request.route)));
+  estimate.start_ms = (before + estimate.unread) / rate;
   if (use.running >= engine.batch_slots) {
     estimate.start_ms += kQueuedRunMs * (use.running - engine.batch_slots + 1);
   }
-  estimate.cost_ms = estimate.start_ms + kCostPerRunMs * use.running;
   estimate.read_share = use.read_load / (rate * Millis(kReadLoadTime));
-  estimate.cost_ms += kReadShareCostMs * estimate.read_share;
+  estimate.cost_ms = estimate.start_ms + kCostPerRunMs * use.running +
+                     kReadShareCostMs * estimate.read_share;
   if (cached < most_cached) {
     estimate.cost_ms += kRereadWeight * (most_cached - cached) / rate;
   }
-  const auto unread = static_cast<double>(use.unread_tokens);
-  if (sensitive) {
+  const Duration pause_target = request.route->pause_target;
+  estimate.pause_sensitive =
+      pause_target.count() > 0 &&
+      Millis(pause_target) < LongestPauseMs(engine, rate);
+  if (estimate.pause_sensitive) {
     estimate.cost_ms += kBrokenPauseMs * BrokenPauseShare(unread, engine) +
                         kSensitiveReadShareMs * estimate.read_share;
   }
   // Of the runs there, those that keep their pauses until this prompt comes.
-  estimate.cost_ms += kBrokenPauseMs * use.pause_sensitive *
-                      (BrokenPauseShare(unread + estimate.unread, engine) -
-                       BrokenPauseShare(unread, engine));
+  estimate.harm_ms = kBrokenPauseMs * use.pause_sensitive *
+                     (BrokenPauseShare(unread + estimate.unread, engine) -
+                      BrokenPauseShare(unread, engine));
+  estimate.cost_ms += estimate.harm_ms;
   return estimate;
 }
 
@@ -159,23 +177,12 @@
 
 }  // namespace
 
-bool IsPauseSensitive(const Route& route,
-                      const EngineTraits& engine,
-                      const EngineSpeed& speed) {
-  const double pause_ms =
-      engine.tokens_per_event * (kChunkTokens / speed.tokens_per_ms + kStepMs);
-  return route.pause_target.count() > 0 &&
-         Millis(route.pause_target) < kPauseMargin * pause_ms;
-}
-
 PlacementResult ChooseUpstream(const PlacementRequest& request,
                                std::span<UpstreamState* const> candidates,
                                const EngineSpeed& speed,
                                Time now,
                                uint64_t random) {
   const auto& engine = request.service->engine;
-  const bool sensitive =
-      engine && IsPauseSensitive(*request.route, *engine, speed);
   const double target_ms = Millis(request.route->latency_target);
   const double latest_ms = kLatestStartShare * Millis(request.time_left);
   const double max_share = MaxReadShare(request.route->priority);
@@ -189,9 +196,9 @@
     if (!IsUsable(*upstream, request, now)) {
       continue;
     }
-    Estimate estimate = engine ? EstimateEngine(request, *engine, *upstream,
-                                                speed, sensitive, most_cached)
-                               : EstimatePlain(*upstream);
+    Estimate estimate =
+        engine ? EstimateEngine(request, *engine, *upstream, speed, most_cached)
+               : EstimatePlain(*upstream);
     const double wait_ms =
         std::max(estimate.start_ms - latest_ms,
                  MsUntilShare(estimate.read_share, max_share));
@@ -217,7 +224,12 @@
     return Unplaced{PlacementRefusal::kOverloaded,
                     std::max(kMinRetryAfter, FromMillis(*soonest_ms))};
   }
-  return Placement{chosen, best->unread, sensitive, FromMillis(best->start_ms)};
+  if (best->harm_ms > kMinHarmToDeferMs &&
+      Millis(request.waited) < kDeferShare * target_ms) {
+    return Deferred{};
+  }
+  return Placement{chosen, best->unread, RankOf(*request.route),
+                   best->pause_sensitive, FromMillis(best->start_ms)};
 }
 
 void LearnPrefill(EngineSpeed& speed, uint32_t tokens, Duration first_event) {
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -27,6 +27,7 @@
   FailureDomain failure_domain;  // Of this instance.
   uint32_t prompt_tokens = 0;
   std::span<const PromptPart> parts;
+  Duration waited{0};
   Duration time_left{0};
   std::span<const UpstreamName> excluded;
 };
@@ -34,6 +35,7 @@
 struct Placement {
   UpstreamState* upstream = nullptr;
   uint32_t unread_tokens = 0;  // Of the prompt, less what is cached there.
+  size_t rank = 0;             // Of urgency, below kUrgencyRanks.
   bool pause_sensitive = false;
   Duration expected_start{0};  // Of the answer or the first event.
 };
@@ -48,7 +50,10 @@
   Duration retry_after{0};
 };
 
-using PlacementResult = std::variant<Placement, Unplaced>;
+// Placing it now would cost the runs beside it more than waiting costs it.
+struct Deferred {};
+
+using PlacementResult = std::variant<Placement, Deferred, Unplaced>;
 
 // Chooses among `candidates`, which are of one service and take new work.
 // `random` breaks ties.
@@ -58,12 +63,6 @@
                                Time now,
                                uint64_t random);
 
-// Whether long prompts that are read beside it would break this route's pause
-// target.
-bool IsPauseSensitive(const Route& route,
-                      const EngineTraits& engine,
-                      const EngineSpeed& speed);
-
 // Takes in the time to the first event of a run that found nothing unread
 // before it.
 void LearnPrefill(EngineSpeed& speed, uint32_t tokens, Duration first_event);
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -143,13 +143,16 @@
   }
   const PlacementRequest wanted{
       request.route,         &service->second, m_settings.failure_domain,
-      request.prompt_tokens, request.parts,    request.time_left,
-      request.excluded};
+      request.prompt_tokens, request.parts,    request.waited,
+      request.time_left,     request.excluded};
   auto result = ChooseUpstream(wanted, candidates, m_speeds[request.service],
                                now, NextRandom(m_random));
   if (auto* unplaced = std::get_if<Unplaced>(&result)) {
     return *unplaced;
   }
+  if (std::holds_alternative<Deferred>(result)) {
+    return Deferred{};
+  }
   auto run = std::make_shared<Run>();
   run->placement = std::get<Placement>(result);
   run->upstream = m_states.at(run->placement.upstream->record.id);
@@ -158,10 +161,10 @@
   run->prompt_tokens = request.prompt_tokens;
   run->started = now;
   const UpstreamUse before = TotalUse(*run->upstream);
-  run->found_idle = before.unread_tokens == 0;
+  run->found_idle = UnreadTokens(before) == 0;
   UpstreamUse& own = run->upstream->own;
   ++own.running;
-  own.unread_tokens += run->placement.unread_tokens;
+  own.unread_tokens[run->placement.rank] += run->placement.unread_tokens;
   AddReadLoad(*run->upstream, run->placement.unread_tokens, now);
   own.pause_sensitive += run->placement.pause_sensitive ? 1 : 0;
   // Known before it is read: a second request with the same parts that follows
@@ -179,18 +182,20 @@
     return;
   }
   run.has_first_event = true;
-  run.upstream->own.unread_tokens -= run.placement.unread_tokens;
+  run.upstream->own.unread_tokens[run.placement.rank] -=
+      run.placement.unread_tokens;
+  const Duration elapsed = now - run.started;
   if (run.found_idle) {
-    LearnPrefill(m_speeds[run.service], run.placement.unread_tokens,
-                 now - run.started);
+    LearnPrefill(m_speeds[run.service], run.placement.unread_tokens, elapsed);
   }
+  LearnStart(run.upstream->health, run.placement.expected_start, elapsed);
   m_has_news = true;
 }
 
 void Router::EndRun(Run& run, RunOutcome outcome, Time now) {
   UpstreamUse& own = run.upstream->own;
   if (!run.has_first_event) {
-    own.unread_tokens -= run.placement.unread_tokens;
+    own.unread_tokens[run.placement.rank] -= run.placement.unread_tokens;
     run.has_first_event = true;
   }
   --own.running;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -52,11 +52,12 @@
   ServiceName service;
   uint32_t prompt_tokens = 0;
   std::vector<PromptPart> parts;
+  Duration waited{0};
   Duration time_left{0};
   std::vector<UpstreamName> excluded;
 };
 
-using RunResult = std::variant<std::shared_ptr<Run>, Unplaced>;
+using RunResult = std::variant<std::shared_ptr<Run>, Deferred, Unplaced>;
 
 struct PeerState {
   PeerDigest digest;
--- a/src/routing/upstream_state.cc
+++ b/src/routing/upstream_state.cc
@@ -16,6 +16,11 @@
 constexpr double kFailureMargin = 0.3;  // Over the siblings' median.
 constexpr double kLagFactor = 3.0;      // Over the siblings' median.
 constexpr uint32_t kMaxConsecutiveFailures = 3;
+// Shorter starts are mostly the way to the upstream and back.
+constexpr Duration kMinStartToLearn = milliseconds(40);
+constexpr double kStartWeight = 0.1;
+constexpr double kMinLatencyRatio = 0.4;
+constexpr double kMaxLatencyRatio = 10;
 constexpr Duration kEjection = seconds(2);
 constexpr size_t kMaxEjectedShare = 3;  // One in three.
 
@@ -34,13 +39,27 @@
   UpstreamUse total = upstream.own;
   for (const auto& [peer, use] : upstream.of_peers) {
     total.running += use.running;
-    total.unread_tokens += use.unread_tokens;
+    for (size_t rank = 0; rank < kUrgencyRanks; ++rank) {
+      total.unread_tokens[rank] += use.unread_tokens[rank];
+    }
     total.pause_sensitive += use.pause_sensitive;
     total.read_load += use.read_load;
   }
   return total;
 }
 
+uint64_t UnreadUpTo(const UpstreamUse& use, size_t rank) {
+  uint64_t tokens = 0;
+  for (size_t i = 0; i <= std::min(rank, kUrgencyRanks - 1); ++i) {
+    tokens += use.unread_tokens[i];
+  }
+  return tokens;
+}
+
+uint64_t UnreadTokens(const UpstreamUse& use) {
+  return UnreadUpTo(use, kUrgencyRanks - 1);
+}
+
 void AddReadLoad(UpstreamState& upstream, double tokens, Time now) {
   const auto elapsed =
       static_cast<double>((now - upstream.read_load_at).count());
@@ -109,6 +128,19 @@
   }
 }
 
+void LearnStart(UpstreamHealth& health, Duration expected, Duration elapsed) {
+  if (expected < kMinStartToLearn) {
+    return;
+  }
+  const double ratio = std::clamp(static_cast<double>(elapsed.count()) /
+                                      static_cast<double>(expected.count()),
+                                  kMinLatencyRatio, kMaxLatencyRatio);
+  // The expectation holds the ratio learnt so far.
+  health.latency_ratio =
+      std::clamp(health.latency_ratio * (1 + kStartWeight * (ratio - 1)),
+                 kMinLatencyRatio, kMaxLatencyRatio);
+}
+
 void EjectOutliers(std::span<UpstreamState* const> siblings, Time now) {
   std::vector<double> failures;
   std::vector<double> ratios;
--- a/src/routing/upstream_state.h
+++ b/src/routing/upstream_state.h
@@ -4,6 +4,7 @@
 #ifndef POMELORING_ROUTING_UPSTREAM_STATE_H_
 #define POMELORING_ROUTING_UPSTREAM_STATE_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -21,10 +22,15 @@
   uint32_t tokens = 0;
 };
 
+// Engines read the prompts of more urgent requests first; ranks beyond the last
+// count as the last.
+inline constexpr size_t kUrgencyRanks = 4;
+
 // What runs at an upstream, of one instance or of several together.
 struct UpstreamUse {
   uint32_t running = 0;
-  uint64_t unread_tokens = 0;    // Of runs without a first event.
+  // Prompt tokens of runs without a first event, by rank of urgency.
+  std::array<uint64_t, kUrgencyRanks> unread_tokens{};
   uint32_t pause_sensitive = 0;  // Runs that a long prompt beside them delays.
   // Prompt tokens that were sent there to be read, fading with kReadLoadTime.
   double read_load = 0;
@@ -54,6 +60,10 @@
   std::unordered_map<uint64_t, Time> cached_parts;  // By id: last use.
 };
 
+// Unread tokens of rank `rank` and all more urgent ones.
+uint64_t UnreadUpTo(const UpstreamUse& use, size_t rank);
+uint64_t UnreadTokens(const UpstreamUse& use);
+
 // What all instances run there, as far as is known.
 UpstreamUse TotalUse(const UpstreamState& upstream);
 
@@ -84,6 +94,9 @@
                   double latency_ratio,
                   Time now);
 
+// Takes in when a run's first event came against when it was expected.
+void LearnStart(UpstreamHealth& health, Duration expected, Duration elapsed);
+
 // Ejects upstreams of one service that fail or lag much more than their
 // siblings, but never more than a third of them.
 void EjectOutliers(std::span<UpstreamState* const> siblings, Time now);
