--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -59,7 +59,7 @@
 // of a priority is added. A step that reads a chunk takes ten times as long as
 // one that does not: beyond it, the streams that run there miss their deadlines
 // and hold their slots the longer.
-constexpr double kHighestReadShare = 1.2;
+constexpr double kHighestReadShare = 1.0;
 constexpr double kReadShareStep = 0.15;  // Less for each lower priority.
 constexpr double kMinReadShare = 0.55;
 // Cost of a fully busy reader to a stream that joins it.
@@ -110,7 +110,9 @@
   if (use.running >= engine.batch_slots) {
     estimate.start_ms += kQueuedRunMs * (use.running - engine.batch_slots + 1);
   }
-  estimate.read_share = use.read_load / (rate * Millis(kReadLoadTime));
+  const double steady_rate =
+      speed.tokens_per_ms / std::max(1.0, upstream.health.latency_ratio);
+  estimate.read_share = use.read_load / (steady_rate * Millis(kReadLoadTime));
   estimate.cost_ms = estimate.start_ms + kCostPerRunMs * use.running +
                      kReadShareCostMs * estimate.read_share;
   if (cached < most_cached) {
@@ -220,12 +222,15 @@
   if (!soonest_ms) {
     return Unplaced{PlacementRefusal::kNoUpstream, kMinRetryAfter};
   }
+  const bool may_wait = Millis(request.waited) < kDeferShare * target_ms;
+  if (chosen == nullptr && may_wait) {
+    return Deferred{};
+  }
   if (chosen == nullptr) {
     return Unplaced{PlacementRefusal::kOverloaded,
                     std::max(kMinRetryAfter, FromMillis(*soonest_ms))};
   }
-  if (best->harm_ms > kMinHarmToDeferMs &&
-      Millis(request.waited) < kDeferShare * target_ms) {
+  if (best->harm_ms > kMinHarmToDeferMs && may_wait) {
     return Deferred{};
   }
   return Placement{chosen, best->unread, RankOf(*request.route),
