--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -192,6 +192,8 @@
   std::optional<Estimate> best;
   UpstreamState* chosen = nullptr;
   std::optional<double> soonest_ms;  // Until one could take the request.
+  double total_share = 0;
+  size_t usable = 0;
   const size_t offset = candidates.empty() ? 0 : random % candidates.size();
   for (size_t i = 0; i < candidates.size(); ++i) {
     UpstreamState* upstream = candidates[(i + offset) % candidates.size()];
@@ -201,9 +203,9 @@
     Estimate estimate =
         engine ? EstimateEngine(request, *engine, *upstream, speed, most_cached)
                : EstimatePlain(*upstream);
-    const double wait_ms =
-        std::max(estimate.start_ms - latest_ms,
-                 MsUntilShare(estimate.read_share, max_share));
+    total_share += estimate.read_share;
+    ++usable;
+    const double wait_ms = estimate.start_ms - latest_ms;
     soonest_ms = soonest_ms ? std::min(*soonest_ms, wait_ms) : wait_ms;
     if (wait_ms > 0) {
       continue;
@@ -222,13 +224,17 @@
   if (!soonest_ms) {
     return Unplaced{PlacementRefusal::kNoUpstream, kMinRetryAfter};
   }
+  const double busy_ms =
+      MsUntilShare(total_share / static_cast<double>(usable), max_share);
   const bool may_wait = Millis(request.waited) < kDeferShare * target_ms;
-  if (chosen == nullptr && may_wait) {
+  const bool is_full = chosen == nullptr || busy_ms > 0;
+  if (is_full && may_wait) {
     return Deferred{};
   }
-  if (chosen == nullptr) {
-    return Unplaced{PlacementRefusal::kOverloaded,
-                    std::max(kMinRetryAfter, FromMillis(*soonest_ms))};
+  if (is_full) {
+    return Unplaced{
+        PlacementRefusal::kOverloaded,
+        std::max(kMinRetryAfter, FromMillis(std::max(*soonest_ms, busy_ms)))};
   }
   if (best->harm_ms > kMinHarmToDeferMs && may_wait) {
     return Deferred{};
