--- a/test/support/running_site.cc
+++ b/test/support/running_site.cc
@@ -309,7 +309,8 @@
 
 void RunningSite::PublishAndWait() {
   WaitUntil([&] {
-    return Call({.address = PlatformAddress(), .target = "/instances"})
+    return Call({.address = PlatformAddress(),
+                 .target = "/api/log-newest?topic=keyed.status&part=0"})
                .status == 200;
   });
   RunProgram("pomeloring-ctl", {"--platform", PlatformAddress(), "publish",
