Compare what instances know of the upstreams by hash, not by offset

Cause: an instance that had listed the store gave what was missing from the list the offset of the list's end; the very next change had that offset too and was taken for known. Ruled out: the choice of readers, who read the change 0.2 s after it was acknowledged.

An instance is behind where a peer's table is at least as new and its hash differs. Also, a peer whose incarnation is lower than before (the time of day stepped back) is believed once it has been silent.

--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -13,7 +13,7 @@
   out.set_leaving(digest.leaving);
   out.set_config_version(digest.config_version);
   out.set_upstreams_as_of(digest.upstreams_as_of.value);
-  out.set_upstreams_changed_at(digest.upstreams_changed_at.value);
+  out.set_upstreams_hash(digest.upstreams_hash);
   out.set_reads_store(digest.reads_store);
   for (const auto& [name, use] : digest.uses) {
     wire::UpstreamUse& entry = *out.add_uses();
@@ -47,7 +47,7 @@
   digest.leaving = in.leaving();
   digest.config_version = in.config_version();
   digest.upstreams_as_of.value = in.upstreams_as_of();
-  digest.upstreams_changed_at.value = in.upstreams_changed_at();
+  digest.upstreams_hash = in.upstreams_hash();
   digest.reads_store = in.reads_store();
   for (const wire::UpstreamUse& entry : in.uses()) {
     UpstreamUse use;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -170,18 +170,23 @@
   if (!digest || !m_parts.router.HandleDigest(*digest, Now())) {
     return;
   }
-  if (m_parts.feed.IsBehind(*digest) && !m_fetching) {
+  if (m_parts.router.IsBehind(*digest) && !m_fetching) {
     if (const Member* member = FindMember(digest->sender)) {
       m_fetching = true;
-      asio::co_spawn(m_parts.context, Fetch(*member), asio::detached);
+      const LogOffset known = m_parts.router.Upstreams().as_of;
+      // Of an equally new table that differs, all is needed.
+      const bool is_newer = digest->upstreams_as_of > known;
+      asio::co_spawn(m_parts.context,
+                     Fetch(*member, is_newer ? known : LogOffset{}),
+                     asio::detached);
     }
   }
 }
 
-asio::awaitable<void> PeerExchange::Fetch(Member peer) {
+asio::awaitable<void> PeerExchange::Fetch(Member peer, LogOffset known) {
   const auto config = m_parts.router.Config();
   const UpstreamTable& table = m_parts.router.Upstreams();
-  const uint64_t after = table.is_complete ? table.as_of.value : 0;
+  const uint64_t after = table.is_complete ? known.value : 0;
   HttpRequestMessage request{
       http::verb::get,
       fmt::format("{}?config_version={}&upstreams_as_of={}", kFetchPath,
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -53,7 +53,8 @@
   void SendTo(const std::string& address, std::string_view bytes);
   void SendDigest();
   void HandleDigestBytes(std::string_view bytes);
-  boost::asio::awaitable<void> Fetch(Member peer);
+  // Fetches what the peer has that was written from `known` on.
+  boost::asio::awaitable<void> Fetch(Member peer, LogOffset known);
   const Member* FindMember(const InstanceName& name) const;
 
   PeerExchangeParts m_parts;
--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -248,14 +248,6 @@
   return state;
 }
 
-bool StoreFeed::IsBehind(const PeerDigest& digest) const {
-  const auto config = m_parts.router.Config();
-  const UpstreamTable& table = m_parts.router.Upstreams();
-  return digest.config_version > (config ? config->version : 0) ||
-         digest.upstreams_changed_at > table.changed_at ||
-         (digest.upstreams_as_of.value > 0 && !table.is_complete);
-}
-
 void StoreFeed::TakeFromPeer(const InstanceName& peer, const PeerStore& state) {
   if (state.config) {
     TakeConfigText(*state.config, peer.value);
--- a/src/gateway/store_feed.h
+++ b/src/gateway/store_feed.h
@@ -49,8 +49,6 @@
   PeerStore StateSince(uint64_t config_version,
                        LogOffset upstreams_as_of) const;
   void TakeFromPeer(const InstanceName& peer, const PeerStore& state);
-  // Whether `digest` shows that its sender has what this instance lacks.
-  bool IsBehind(const PeerDigest& digest) const;
 
  private:
   void TakeConfigText(const std::string& text, std::string_view source);
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -22,8 +22,8 @@
   bool leaving = false;
   uint64_t config_version = 0;
   LogOffset upstreams_as_of;
-  LogOffset upstreams_changed_at;
-  bool reads_store = false;  // The store itself answered the sender of late.
+  uint64_t upstreams_hash = 0;  // See UpstreamTable.
+  bool reads_store = false;     // The store itself answered the sender of late.
   std::vector<std::pair<UpstreamName, UpstreamUse>> uses;
   std::vector<std::pair<UpstreamName, uint64_t>> cached_parts;
 };
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -220,7 +220,7 @@
   digest.leaving = leaving;
   digest.config_version = m_config ? m_config->version : 0;
   digest.upstreams_as_of = m_table.as_of;
-  digest.upstreams_changed_at = m_table.changed_at;
+  digest.upstreams_hash = m_table.hash;
   digest.reads_store = reads_store;
   for (const auto& [name, state] : m_states) {
     AddReadLoad(*state, 0, now);
@@ -242,7 +242,10 @@
   const auto order = [](const PeerDigest& d) {
     return std::pair(d.incarnation, d.sequence);
   };
-  if (!is_new && order(digest) <= order(peer.digest)) {
+  // An incarnation comes from the time of day, which may have stepped back
+  // before the peer started again: one that was silent is believed.
+  const bool was_silent = now - peer.heard >= m_settings.digest_lifetime;
+  if (!is_new && !was_silent && order(digest) <= order(peer.digest)) {
     return false;
   }
   peer.digest = digest;
@@ -268,6 +271,17 @@
   }
 }
 
+// Not by the offset of the newest change: an instance that knows of a change by
+// a whole list gives it another offset than one that has read the change, and
+// would take the next one for known.
+bool Router::IsBehind(const PeerDigest& digest) const {
+  return digest.config_version > (m_config ? m_config->version : 0) ||
+         (digest.upstreams_as_of.value > 0 &&
+          digest.upstreams_as_of >= m_table.as_of &&
+          digest.upstreams_hash != m_table.hash) ||
+         (digest.upstreams_as_of.value > 0 && !m_table.is_complete);
+}
+
 size_t Router::LivePeers(Time now) const {
   size_t live = 0;
   for (const auto& [name, peer] : m_peers) {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -107,6 +107,8 @@
   bool HandleDigest(const PeerDigest& digest, Time now);
   const std::map<InstanceName, PeerState>& Peers() const { return m_peers; }
   size_t LivePeers(Time now) const;
+  // Whether the sender of `digest` has what this instance lacks.
+  bool IsBehind(const PeerDigest& digest) const;
 
   void Tick(Time now);
   const RouterSettings& Settings() const { return m_settings; }
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -4,6 +4,24 @@
 #include <set>
 
 namespace pomeloring {
+namespace {
+
+uint64_t HashOf(const UpstreamTable& table) {
+  uint64_t hash = 1;
+  for (const auto& [name, entry] : table.entries) {
+    if (entry.record) {
+      const UpstreamRecord& record = *entry.record;
+      hash = StableHash(name.value, hash);
+      hash = StableHash(record.service.value, hash);
+      hash = StableHash(record.address, hash);
+      hash = StableHash(record.draining ? "draining" : "ready", hash);
+      hash = StableHash(std::to_string(record.started_at_ms), hash);
+    }
+  }
+  return hash;
+}
+
+}  // namespace
 
 std::vector<UpstreamName> ApplyChanges(
     UpstreamTable& table,
@@ -21,10 +39,10 @@
       continue;  // A heartbeat.
     }
     known = {change.offset, change.record, now};
-    table.changed_at = std::max(table.changed_at, change.offset);
     changed.push_back(change.id);
   }
   table.as_of = std::max(table.as_of, as_of);
+  table.hash = changed.empty() ? table.hash : HashOf(table);
   return changed;
 }
 
@@ -41,11 +59,12 @@
   for (auto& [name, entry] : table.entries) {
     // An entry that was written after the list was made stays.
     if (entry.record && !names.contains(name) && entry.offset < as_of) {
-      entry = {as_of, std::nullopt, now};
-      table.changed_at = std::max(table.changed_at, as_of);
+      // All before `as_of` is known; what stands there comes after the list.
+      entry = {LogOffset{as_of.value - 1}, std::nullopt, now};
       dropped.push_back(name);
     }
   }
+  table.hash = dropped.empty() ? table.hash : HashOf(table);
   return dropped;
 }
 
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -43,8 +43,9 @@
 
 struct UpstreamTable {
   std::map<UpstreamName, UpstreamEntry> entries;
-  LogOffset as_of;       // All changes before it are in.
-  LogOffset changed_at;  // Of the newest change that matters.
+  LogOffset as_of;  // All changes before it are in.
+  // Of all that matters to routing: two tables with one hash hold the same.
+  uint64_t hash = 0;
   bool is_complete = false;
 };
 
--- /dev/null
+++ b/test/routing/restarted_peer_is_heard_test.cc
@@ -0,0 +1,35 @@
+// The incarnation of an instance comes from its time of day. When that steps
+// back before the instance starts again, its new life must be heard.
+
+#include <doctest/doctest.h>
+
+#include "support/routing_site.h"
+
+namespace pomeloring {
+namespace {
+
+PeerDigest From(uint64_t incarnation, uint64_t sequence, uint32_t running) {
+  PeerDigest digest;
+  digest.sender = {"b"};
+  digest.incarnation.value = incarnation;
+  digest.sequence = sequence;
+  UpstreamUse use;
+  use.running = running;
+  digest.uses.emplace_back(UpstreamName{"e0"}, use);
+  return digest;
+}
+
+TEST_CASE("A lower incarnation is believed once the peer has been silent") {
+  constexpr Time kNow{seconds(1000)};
+  const auto router = ReadyRouter(1, kNow);
+  CHECK(router->HandleDigest(From(9, 50, 3), kNow));
+  // A datagram of the life before that comes late is not.
+  CHECK_FALSE(router->HandleDigest(From(8, 99, 5), kNow + milliseconds(100)));
+  CHECK_FALSE(router->HandleDigest(From(9, 49, 5), kNow + milliseconds(100)));
+  CHECK(router->HandleDigest(From(7, 1, 1), kNow + seconds(3)));
+  CHECK(router->HandleDigest(From(7, 2, 2), kNow + seconds(3)));
+  CHECK(TotalUse(*router->AllUpstreams().front()).running == 2);
+}
+
+}  // namespace
+}  // namespace pomeloring
