--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 #include <fstream>
+#include <iostream>
 #include <random>
 #include <set>
 #include <sstream>
@@ -11,6 +12,7 @@
 #include "core/config_history.h"
 #include "core/configuration.h"
 #include "ctl/admin_client.h"
+#include "ctl/log_report.h"
 #include "ctl/timeline_report.h"
 
 namespace pomeloring {
@@ -396,6 +398,22 @@
   return kExitOk;
 }
 
+int Explain(const CommandLine& line) {
+  const std::string story =
+      ExplainRequest(ReadLogLines(std::cin), line.words[1]);
+  if (story.empty()) {
+    return Fail(kExitInvalid,
+                fmt::format("no line names the request {}", line.words[1]));
+  }
+  fmt::print("{}", story);
+  return kExitOk;
+}
+
+int Summarize(const CommandLine&) {
+  fmt::print("{}", SummarizeEnds(ReadLogLines(std::cin)));
+  return kExitOk;
+}
+
 struct Command {
   std::string_view name;
   size_t words;
@@ -404,9 +422,10 @@
 };
 
 constexpr Command kCommands[] = {
-    {"check", 2, false, Check}, {"publish", 2, true, Publish},
-    {"mark", 3, true, Mark},    {"show", 2, false, Show},
-    {"stop", 1, false, Stop},   {"timeline", 1, false, ShowTimeline},
+    {"check", 2, false, Check},     {"publish", 2, true, Publish},
+    {"mark", 3, true, Mark},        {"show", 2, false, Show},
+    {"stop", 1, false, Stop},       {"timeline", 1, false, ShowTimeline},
+    {"explain", 2, false, Explain}, {"summary", 1, false, Summarize},
 };
 
 }  // namespace
--- a/src/daemon/log.cc
+++ b/src/daemon/log.cc
@@ -26,6 +26,13 @@
   return poll(&poll_file, 1, 0) == 1 && (poll_file.revents & POLLOUT) != 0;
 }
 
+std::string TimeText(std::chrono::system_clock::time_point time) {
+  const auto whole = std::chrono::floor<std::chrono::seconds>(time);
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(time - whole);
+  return fmt::format("{:%FT%T}.{:03}Z", whole, ms.count());
+}
+
 }  // namespace
 
 Log::Log(std::string instance, LogLevel least)
@@ -51,14 +58,10 @@
       return;
     }
   }
-  boost::json::object line{
-      {"time",
-       fmt::format("{:%FT%TZ}",
-                   std::chrono::time_point_cast<std::chrono::milliseconds>(
-                       std::chrono::system_clock::now()))},
-      {"level", kLevelNames[static_cast<size_t>(level)]},
-      {"instance", m_instance},
-      {"event", event}};
+  boost::json::object line{{"time", TimeText(std::chrono::system_clock::now())},
+                           {"level", kLevelNames[static_cast<size_t>(level)]},
+                           {"instance", m_instance},
+                           {"event", event}};
   for (const LogField& field : fields) {
     line[field.name] = field.value;
   }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -115,11 +115,10 @@
   if (m_route == nullptr) {
     return OwnReply{404, "no-route", "no route has this host and path"};
   }
-  if (!m_route->allow_anonymous && !m_config->accounts.empty()) {
-    m_account = FindAccount(*m_config, m_facts.key);
-    if (m_account == nullptr) {
-      return OwnReply{401, "unknown-key", "no client account has this key"};
-    }
+  m_account = FindAccount(*m_config, m_facts.key);
+  if (m_account == nullptr && !m_route->allow_anonymous &&
+      !m_config->accounts.empty()) {
+    return OwnReply{401, "unknown-key", "no client account has this key"};
   }
   if (m_parts.refuses_new) {
     return OwnReply{503, "stopping", "this instance is stopping",
@@ -435,6 +434,18 @@
   if (m_may_have_run) {
     reply = {502, "upstream-lost", "no other upstream can run it"};
   }
+  m_parts.log.Write(
+      LogLevel::kInfo, "unplaced",
+      {{"request", m_facts.id},
+       {"route", m_route->name},
+       {"reason", reply.type},
+       {"usable", std::to_string(unplaced.usable)},
+       {"read_share", fmt::format("{:.2f}", unplaced.read_share)},
+       {"max_read_share", fmt::format("{:.2f}", unplaced.max_read_share)},
+       {"waited_ms", fmt::format("{:.0f}", Millis(Now() - m_received))},
+       {"retry_after_ms", fmt::format("{:.0f}", Millis(reply.retry_after))},
+       {"upstreams_as_of",
+        std::to_string(m_parts.router.Upstreams().as_of.value)}});
   co_await Answer(std::move(reply));
 }
 
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -224,8 +224,8 @@
   if (!soonest_ms) {
     return Unplaced{PlacementRefusal::kNoUpstream, kMinRetryAfter};
   }
-  const double busy_ms =
-      MsUntilShare(total_share / static_cast<double>(usable), max_share);
+  const double mean_share = total_share / static_cast<double>(usable);
+  const double busy_ms = MsUntilShare(mean_share, max_share);
   const bool may_wait = Millis(request.waited) < kDeferShare * target_ms;
   const bool is_full = chosen == nullptr || busy_ms > 0;
   if (is_full && may_wait) {
@@ -234,7 +234,8 @@
   if (is_full) {
     return Unplaced{
         PlacementRefusal::kOverloaded,
-        std::max(kMinRetryAfter, FromMillis(std::max(*soonest_ms, busy_ms)))};
+        std::max(kMinRetryAfter, FromMillis(std::max(*soonest_ms, busy_ms))),
+        usable, mean_share, max_share};
   }
   if (best->harm_ms > kMinHarmToDeferMs && may_wait) {
     return Deferred{};
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -48,6 +48,10 @@
 struct Unplaced {
   PlacementRefusal reason = PlacementRefusal::kNoUpstream;
   Duration retry_after{0};
+  // What decided it, for the log:
+  size_t usable = 0;          // Upstreams that might have been chosen.
+  double read_share = 0;      // Of their time, on the mean, reading prompts.
+  double max_read_share = 0;  // For the request's priority.
 };
 
 // Placing it now would cost the runs beside it more than waiting costs it.
--- a/tools/pomeloring-ctl.bash
+++ b/tools/pomeloring-ctl.bash
@@ -10,7 +10,7 @@
       return
       ;;
     *)
-      choices="check publish mark show stop timeline in-service leaving stopping
+      choices="check publish mark show stop timeline explain summary in-service leaving stopping
         $(pomeloring-ctl --help 2>/dev/null | grep -o -- '--[a-z]*')"
       ;;
   esac
