--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,54 +1,14 @@
 #include <fmt/format.h>
-#include <getopt.h>
-
-#include <cstdio>
 
+#include "daemon/daemon_main.h"
 #include "daemon/node.h"
-#include "daemon/settings.h"
 #include "platform/log_platform.h"
 
 namespace pomeloring {
 namespace {
 
-constexpr int kExitOk = 0;
-constexpr int kExitUsage = 2;
-constexpr int kExitBadSettings = 3;
-constexpr int kExitCantListen = 4;
-constexpr int kExitDrainedLate = 5;
-constexpr int kExitSuperseded = 6;
-
-constexpr char kUsage[] =
-    "usage: pomeloring-node --settings FILE [--check]\n"
-    "\n"
-    "Runs one instance. SIGTERM begins a planned stop.\n"
-    "\n"
-    "  -s, --settings FILE  the settings, JSON\n"
-    "  -c, --check          check the settings and exit\n"
-    "  -d, --describe       print the settings reference and exit\n"
-    "  -h, --help           print this and exit\n"
-    "  -V, --version        print the version and exit\n"
-    "\n"
-    "exit codes: 0 stopped as planned, 2 usage, 3 bad settings, 4 can't\n"
-    "listen, 5 stopped with requests in flight, 6 name taken over\n";
-
-constexpr option kOptions[] = {
-    {"settings", required_argument, nullptr, 's'},
-    {"check", no_argument, nullptr, 'c'},
-    {"describe", no_argument, nullptr, 'd'},
-    {"help", no_argument, nullptr, 'h'},
-    {"version", no_argument, nullptr, 'V'},
-    {nullptr, 0, nullptr, 0},
-};
-
-void PrintReference() {
-  fmt::print("| setting | type | default | meaning |\n|---|---|---|---|\n");
-  for (const SettingDoc& doc : SettingDocs()) {
-    fmt::print("| `{}` | {} | {} | {} |\n", doc.name, doc.type,
-               doc.fallback.empty() ? "required" : doc.fallback, doc.meaning);
-  }
-}
-
-int RunNode(NodeSettings settings) {
+int RunNode(const std::string& path) {
+  auto settings = std::get<NodeSettings>(ReadSettings(path));
   auto platform = platform::MakeLogPlatform(settings.platform_address,
                                             settings.platform_deadline);
   auto built = NodeBuilder()
@@ -57,65 +17,32 @@
                    .Build();
   if (auto* error = std::get_if<NodeError>(&built)) {
     fmt::print(stderr, "pomeloring-node: {}\n", Describe(*error));
-    return kExitCantListen;
+    return kDaemonCantListen;
   }
   switch (std::get<std::unique_ptr<Node>>(built)->Run()) {
     case NodeEnd::kStopped:
-      return kExitOk;
+      return kDaemonOk;
     case NodeEnd::kDrainedLate:
-      return kExitDrainedLate;
+      return kDaemonDrainedLate;
     case NodeEnd::kSuperseded:
-      return kExitSuperseded;
+      return kDaemonSuperseded;
   }
-  return kExitOk;
+  return kDaemonOk;
 }
 
-int Main(int argc, char** argv) {
-  std::string path;
-  bool check_only = false;
-  int choice = 0;
-  while ((choice = getopt_long(argc, argv, "s:cdhV", kOptions, nullptr)) !=
-         -1) {
-    switch (choice) {
-      case 's':
-        path = optarg;
-        break;
-      case 'c':
-        check_only = true;
-        break;
-      case 'd':
-        PrintReference();
-        return kExitOk;
-      case 'h':
-        fmt::print("{}", kUsage);
-        return kExitOk;
-      case 'V':
-        fmt::print("pomeloring-node {}\n", POMELORING_VERSION);
-        return kExitOk;
-      default:
-        fmt::print(stderr, "{}", kUsage);
-        return kExitUsage;
-    }
-  }
-  if (path.empty() || optind != argc) {
-    fmt::print(stderr, "{}", kUsage);
-    return kExitUsage;
-  }
+std::optional<SettingsError> CheckNode(const std::string& path) {
   auto settings = ReadSettings(path);
-  if (auto* error = std::get_if<SettingsError>(&settings)) {
-    fmt::print(stderr, "pomeloring-node: {}: {}\n", path, Describe(*error));
-    return kExitBadSettings;
-  }
-  if (check_only) {
-    fmt::print("{}: good\n", path);
-    return kExitOk;
-  }
-  return RunNode(std::get<NodeSettings>(std::move(settings)));
+  auto* error = std::get_if<SettingsError>(&settings);
+  return error == nullptr ? std::nullopt : std::optional(std::move(*error));
 }
 
 }  // namespace
 }  // namespace pomeloring
 
 int main(int argc, char** argv) {
-  return pomeloring::Main(argc, argv);
+  using namespace pomeloring;
+  return DaemonMain({"pomeloring-node", POMELORING_VERSION,
+                     "Runs one instance. SIGTERM begins a planned stop.\n",
+                     SettingDocs(), CheckNode, RunNode},
+                    argc, argv);
 }
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "core/json_reader.h"
+#include "daemon/settings_fields.h"
 #include "link/address.h"
 
 namespace pomeloring {
@@ -35,14 +36,6 @@
      "the least level that is logged"},
 };
 
-std::string ReadAddress(JsonReader& reader, std::string_view field) {
-  std::string address = reader.String(field);
-  if (!ParseTcpAddress(address)) {
-    reader.Fail(OutOfRange{std::string(field), "IP:port"});
-  }
-  return address;
-}
-
 std::chrono::seconds ReadSeconds(JsonReader& reader,
                                  std::string_view field,
                                  std::chrono::seconds fallback,
@@ -71,13 +64,7 @@
                                        settings.log_retention, 60, 90 * kDay);
   settings.longest_drain =
       ReadSeconds(reader, "longest_drain_s", settings.longest_drain, 1, kDay);
-  const std::string level = reader.String("log_level", false);
-  settings.log_level = level.empty() ? settings.log_level : level;
-  constexpr std::string_view kLevels[] = {"debug", "info", "warning", "error"};
-  if (std::find(std::begin(kLevels), std::end(kLevels), settings.log_level) ==
-      std::end(kLevels)) {
-    reader.Fail(OutOfRange{"log_level", "debug, info, warning or error"});
-  }
+  settings.log_level = ReadLogLevel(reader, settings.log_level);
 }
 
 }  // namespace
@@ -94,11 +81,11 @@
   settings.name = reader.String("name");
   settings.failure_domain = reader.String("failure_domain");
   settings.region = reader.String("region", false);
-  settings.caller_address = ReadAddress(reader, "caller_address");
-  settings.link_address = ReadAddress(reader, "link_address");
-  settings.probe_address = ReadAddress(reader, "probe_address");
-  settings.admin_address = ReadAddress(reader, "admin_address");
-  settings.platform_address = ReadAddress(reader, "platform_address");
+  settings.caller_address = ReadAddressField(reader, "caller_address");
+  settings.link_address = ReadAddressField(reader, "link_address");
+  settings.probe_address = ReadAddressField(reader, "probe_address");
+  settings.admin_address = ReadAddressField(reader, "admin_address");
+  settings.platform_address = ReadAddressField(reader, "platform_address");
   settings.admin_key_sha256 = reader.String("admin_key_sha256");
   ReadPeers(reader, settings);
   ReadLimits(reader, settings);
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -7,6 +7,7 @@
 #include <sstream>
 
 #include "core/json_reader.h"
+#include "daemon/settings_fields.h"
 #include "link/address.h"
 
 namespace pomeloring {
@@ -39,14 +40,6 @@
      "the least level that is logged"},
 };
 
-std::string ReadAddress(JsonReader& reader, std::string_view field) {
-  std::string address = reader.String(field);
-  if (!ParseTcpAddress(address)) {
-    reader.Fail(OutOfRange{std::string(field), "IP:port"});
-  }
-  return address;
-}
-
 // Reads a number in [0, most], whole or not.
 double ReadNumber(JsonReader& reader,
                   std::string_view field,
@@ -88,12 +81,12 @@
   settings.name = reader.String("name");
   settings.failure_domain = reader.String("failure_domain");
   settings.region = reader.String("region", false);
-  settings.caller_address = ReadAddress(reader, "caller_address");
-  settings.directory_address = ReadAddress(reader, "directory_address");
-  settings.ready_address = ReadAddress(reader, "ready_address");
-  settings.peer_address = ReadAddress(reader, "peer_address");
-  settings.metrics_address = ReadAddress(reader, "metrics_address");
-  settings.platform_address = ReadAddress(reader, "platform_address");
+  settings.caller_address = ReadAddressField(reader, "caller_address");
+  settings.directory_address = ReadAddressField(reader, "directory_address");
+  settings.ready_address = ReadAddressField(reader, "ready_address");
+  settings.peer_address = ReadAddressField(reader, "peer_address");
+  settings.metrics_address = ReadAddressField(reader, "metrics_address");
+  settings.platform_address = ReadAddressField(reader, "platform_address");
   for (const std::string& seed : reader.Strings("seeds")) {
     if (!ParseTcpAddress(seed)) {
       reader.Fail(OutOfRange{"seeds", "IP:port each"});
@@ -112,13 +105,7 @@
   retries.window = seconds{reader.Int("retry_window_s", 10, 1, 3600)};
   settings.keep_addresses = seconds{reader.Int("keep_addresses_s", 1, 1, 3600)};
   settings.longest_drain = seconds{reader.Int("longest_drain_s", 8, 1, 3600)};
-  const std::string level = reader.String("log_level", false);
-  settings.log_level = level.empty() ? settings.log_level : level;
-  constexpr std::string_view kLevels[] = {"debug", "info", "warning", "error"};
-  if (std::find(std::begin(kLevels), std::end(kLevels), settings.log_level) ==
-      std::end(kLevels)) {
-    reader.Fail(OutOfRange{"log_level", "debug, info, warning or error"});
-  }
+  settings.log_level = ReadLogLevel(reader, settings.log_level);
   reader.Finish();
   if (error) {
     return std::move(*error);
