--- a/tools/check_settings_page.sh
+++ b/tools/check_settings_page.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
-# Checks that the settings page is what the program prints.
+# Checks that the settings pages are what the programs print.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 diff <(grep '^|' docs/operators/settings.md) \
   <(build/bin/pomeloring-node --describe)
+diff <(grep '^|' docs/operators/gateway_settings.md) \
+  <(build/bin/pomeloring-gateway --describe)
