--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -19,6 +19,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+inline double ToMillis(Duration duration) {
+  return static_cast<double>(duration.count()) / 1000;
+}
+
 // A string that can't be mistaken for a name of another kind.
 template <typename Tag>
 struct StrongString {
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -22,7 +22,6 @@
 // two bytes beyond the pause target. Engines preempt and read in again.
 constexpr Duration kMinSilence = seconds(1);
 constexpr int kSilenceFactor = 3;
-constexpr Duration kUpstreamRetryAfter = milliseconds(300);
 // Ranks of urgency that an account's priority counts for.
 constexpr uint32_t kRanksPerAccountPriority = 3;
 constexpr uint32_t kLeastUrgent = 9;
@@ -39,28 +38,6 @@
   return asio::redirect_error(asio::use_awaitable, error);
 }
 
-double Millis(Duration duration) {
-  return static_cast<double>(duration.count()) / 1000;
-}
-
-std::string_view Name(RunEnd end) {
-  switch (end) {
-    case RunEnd::kWhole:
-      return "whole";
-    case RunEnd::kNotSent:
-      return "not-sent";
-    case RunEnd::kNotExecuted:
-      return "not-executed";
-    case RunEnd::kBroken:
-      return "broken";
-    case RunEnd::kSilent:
-      return "silent";
-    case RunEnd::kStopped:
-      return "stopped";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 Exchange::Exchange(GatewayParts& parts,
@@ -108,7 +85,7 @@
   m_config = m_parts.router.Config();
   if (!m_parts.router.IsReady()) {
     return OwnReply{503, "not-ready", "this instance has no configuration yet",
-                    kUpstreamRetryAfter};
+                    kDefaultRetryAfter};
   }
   m_route =
       FindRoute(*m_config, m_request[http::field::host], m_request.target());
@@ -187,7 +164,7 @@
     const RunEnd end = co_await RunOnce(run);
     if (m_client_gone) {
       m_keep = false;
-      m_ending = {"client-gone", std::string(Name(end))};
+      m_ending = {"client-gone", std::string(ToString(end))};
       co_return;
     }
     if (end == RunEnd::kWhole && m_stream_begun) {
@@ -206,7 +183,7 @@
     m_parts.log.Write(LogLevel::kInfo, "retry",
                       {{"request", m_facts.id},
                        {"upstream", run->upstream->record.id.value},
-                       {"end", std::string(Name(end))},
+                       {"end", std::string(ToString(end))},
                        {"status", std::to_string(m_last_reply.status)}});
   }
 }
@@ -333,7 +310,7 @@
        {"unread_tokens", std::to_string(run->placement.unread_tokens)},
        {"prompt_tokens", std::to_string(m_facts.prompt_tokens)},
        {"expected_ms",
-        fmt::format("{:.0f}", Millis(run->placement.expected_start))},
+        fmt::format("{:.0f}", ToMillis(run->placement.expected_start))},
        {"running", std::to_string(TotalUse(*run->upstream).running)},
        {"upstreams_as_of",
         std::to_string(m_parts.router.Upstreams().as_of.value)}});
@@ -365,189 +342,4 @@
   co_return end;
 }
 
-// --- Streams -----------------------------------------------------------------
-
-asio::awaitable<bool> Exchange::BeginStream(const PassedReply& head) {
-  if (m_stream_begun) {
-    m_events->StartNextRun();
-    co_return true;  // Goes on with the head of its first run.
-  }
-  m_stream_begun = true;
-  m_events.emplace(m_facts.resume_after);
-  std::string bytes =
-      WritePassedHead(head.status, head.fields, nullptr, KeepsAlive());
-  co_return co_await m_client->Write(std::move(bytes));
-}
-
-asio::awaitable<bool> Exchange::PassEvents(std::string_view bytes) {
-  const WholeEvents events = m_events->Feed(bytes);
-  if (events.out_of_order) {
-    m_stream_broken = true;
-    co_return false;
-  }
-  if (events.bytes.empty()) {
-    co_return true;
-  }
-  if (events.count > 0) {
-    const Time now = Now();
-    if (m_first_byte.count() == 0) {
-      m_first_byte = now - m_received;
-      ObserveFirstByte(m_parts.metrics, m_route->name, m_first_byte);
-    } else {
-      m_longest_pause = std::max(m_longest_pause, now - m_last_event);
-    }
-    m_last_event = now;
-    m_parts.router.HandleFirstEvent(*m_placed, now);
-  }
-  std::string chunk = WriteChunk(events.bytes);
-  co_return co_await m_client->Write(std::move(chunk));
-}
-
-// A stream that ends early is cut off: it must not look complete.
-asio::awaitable<void> Exchange::FinishStream(RunEnd end) {
-  const bool is_whole =
-      end == RunEnd::kWhole && !m_events->HasPartialEvent() && !m_stream_broken;
-  std::string last(kLastChunk);
-  if (is_whole && co_await m_client->Write(std::move(last))) {
-    m_ending.outcome = "served";
-    co_return;
-  }
-  m_keep = false;
-  m_client->Close();
-  m_ending = {"stream-cut", std::string(Name(end))};
-}
-
-// --- Final answers -----------------------------------------------------------
-
-// GCC 12 destroys a braced temporary in a co_await expression twice: replies
-// are named before they are passed.
-asio::awaitable<void> Exchange::AnswerUnplaced(Unplaced unplaced) {
-  if (m_stream_begun) {
-    co_await FinishStream(RunEnd::kBroken);
-    co_return;
-  }
-  const bool full = unplaced.reason == PlacementRefusal::kOverloaded;
-  OwnReply reply{503, full ? "overloaded" : "no-upstream",
-                 full ? "every upstream would start it too late"
-                      : "no upstream of the service is in use",
-                 std::max(unplaced.retry_after, kUpstreamRetryAfter)};
-  if (m_may_have_run) {
-    reply = {502, "upstream-lost", "no other upstream can run it"};
-  }
-  m_parts.log.Write(
-      LogLevel::kInfo, "unplaced",
-      {{"request", m_facts.id},
-       {"route", m_route->name},
-       {"reason", reply.type},
-       {"usable", std::to_string(unplaced.usable)},
-       {"read_share", fmt::format("{:.2f}", unplaced.read_share)},
-       {"max_read_share", fmt::format("{:.2f}", unplaced.max_read_share)},
-       {"waited_ms", fmt::format("{:.0f}", Millis(Now() - m_received))},
-       {"retry_after_ms", fmt::format("{:.0f}", Millis(reply.retry_after))},
-       {"upstreams_as_of",
-        std::to_string(m_parts.router.Upstreams().as_of.value)}});
-  co_await Answer(std::move(reply));
-}
-
-asio::awaitable<void> Exchange::AnswerAfter(RunEnd end) {
-  // These statuses state that a request has not run. This one has.
-  const unsigned status = m_last_reply.status;
-  const bool promises =
-      status == 408 || status == 421 || status == 429 || status == 503;
-  if (end == RunEnd::kWhole && !promises) {
-    co_await PassWhole(m_last_reply);
-    co_return;
-  }
-  OwnReply reply{503, end == RunEnd::kNotSent ? "unreachable" : "refused",
-                 "no upstream took the request", kUpstreamRetryAfter};
-  if (end == RunEnd::kWhole) {
-    reply = {502, "upstream-failed",
-             "the upstream failed the request after it had it"};
-  } else if (m_may_have_run) {
-    const bool late = m_timed_out || end == RunEnd::kSilent;
-    reply = {late ? 504U : 502U, late ? "upstream-too-slow" : "upstream-lost",
-             "the request may have run"};
-  }
-  co_await Answer(std::move(reply));
-}
-
-asio::awaitable<void> Exchange::PassWhole(const PassedReply& reply) {
-  m_first_byte = Now() - m_received;
-  ObserveFirstByte(m_parts.metrics, m_route->name, m_first_byte);
-  const size_t length = reply.body.size();
-  m_ending.outcome = reply.status < 400 ? "served" : "upstream-status";
-  m_ending.reason = std::to_string(reply.status);
-  std::string bytes =
-      WritePassedHead(reply.status, reply.fields, &length, KeepsAlive());
-  bytes += reply.body;
-  const bool written = co_await m_client->Write(std::move(bytes));
-  m_keep = m_keep && written;
-}
-
-asio::awaitable<void> Exchange::Answer(OwnReply reply) {
-  m_ending.outcome = std::to_string(reply.status);
-  m_ending.reason = reply.type;
-  const ReplyContext context{m_parts.codec.request_id_field, m_facts.id,
-                             KeepsAlive()};
-  std::string bytes = WriteOwnReply(reply, context);
-  const bool written = co_await m_client->Write(std::move(bytes));
-  m_keep = m_keep && written;
-}
-
-void Exchange::LogEnd() {
-  const std::string route = m_route ? m_route->name : "none";
-  CountRequestEnd(m_parts.metrics, route, m_ending.outcome);
-  m_parts.log.Write(
-      LogLevel::kInfo, "request-ended",
-      {{"request", m_facts.id},
-       {"route", route},
-       {"account", m_account ? m_account->name.value : ""},
-       {"outcome", m_ending.outcome},
-       {"reason", m_ending.reason},
-       {"runs", std::to_string(m_runs)},
-       {"upstream", m_placed ? m_placed->upstream->record.id.value : ""},
-       {"first_ms", fmt::format("{:.0f}", Millis(m_first_byte))},
-       {"pause_ms", fmt::format("{:.0f}", Millis(m_longest_pause))},
-       {"total_ms", fmt::format("{:.0f}", Millis(Now() - m_received))},
-       {"config", std::to_string(m_config ? m_config->version : 0)}});
-}
-
-// --- Connections -------------------------------------------------------------
-
-asio::awaitable<void> ServeConnection(
-    GatewayParts& parts,
-    std::shared_ptr<ClientConnection> client) {
-  client->Start();
-  while (true) {
-    const auto config = parts.router.Config();
-    const ClientLimits limits = config ? config->limits : ClientLimits();
-    auto read = co_await client->ReadRequest(limits);
-    if (std::holds_alternative<ConnectionEnded>(read)) {
-      client->Close();
-      co_return;
-    }
-    if (auto* bad = std::get_if<BadClientRequest>(&read)) {
-      CountEvent(parts.metrics, "bad_requests");
-      parts.log.Write(
-          LogLevel::kInfo, "bad-request",
-          {{"status", std::to_string(bad->status)}, {"reason", bad->reason}});
-      const OwnReply reply{bad->status, "bad-request", bad->reason};
-      const ReplyContext context{"", "", false};
-      std::string bytes = WriteOwnReply(reply, context);
-      co_await client->Write(std::move(bytes));
-      client->Close();
-      co_return;
-    }
-    ++parts.exchanges;
-    const auto exchange = std::make_shared<Exchange>(
-        parts, client, std::get<ClientRequest>(std::move(read)));
-    const bool keeps = co_await exchange->Serve();
-    --parts.exchanges;
-    if (!keeps) {
-      client->Close();
-      co_return;
-    }
-  }
-}
-
 }  // namespace pomeloring
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -19,6 +19,10 @@
 
 namespace pomeloring {
 
+// Told to a client where nothing is known of when a place will be free: about
+// the time that upstreams take to be registered again or found by a retry.
+inline constexpr Duration kDefaultRetryAfter = milliseconds(300);
+
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(GatewayParts& parts,
@@ -90,11 +94,6 @@
   std::shared_ptr<Run> m_placed;
 };
 
-// Serves the requests of one client connection until it ends.
-boost::asio::awaitable<void> ServeConnection(
-    GatewayParts& parts,
-    std::shared_ptr<ClientConnection> client);
-
 }  // namespace pomeloring
 
 #endif  // POMELORING_GATEWAY_EXCHANGE_H_
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -16,9 +16,9 @@
 
 #include "daemon/log.h"
 #include "gateway/client_connection.h"
-#include "gateway/exchange.h"
 #include "gateway/gateway_parts.h"
 #include "gateway/peer_exchange.h"
+#include "gateway/serve_connection.h"
 #include "gateway/store_feed.h"
 #include "link/address.h"
 #include "link/clock.h"
--- /dev/null
+++ b/src/gateway/serve_connection.h
@@ -0,0 +1,22 @@
+// Defines ServeConnection: the requests of one client connection, one after the
+// other.
+
+#ifndef POMELORING_GATEWAY_SERVE_CONNECTION_H_
+#define POMELORING_GATEWAY_SERVE_CONNECTION_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+
+#include "gateway/client_connection.h"
+#include "gateway/gateway_parts.h"
+
+namespace pomeloring {
+
+// Serves until the client or the gateway closes the connection.
+boost::asio::awaitable<void> ServeConnection(
+    GatewayParts& parts,
+    std::shared_ptr<ClientConnection> client);
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_GATEWAY_SERVE_CONNECTION_H_
--- a/src/gateway/upstream_run.cc
+++ b/src/gateway/upstream_run.cc
@@ -44,6 +44,24 @@
 
 }  // namespace
 
+std::string_view ToString(RunEnd end) {
+  switch (end) {
+    case RunEnd::kWhole:
+      return "whole";
+    case RunEnd::kNotSent:
+      return "not-sent";
+    case RunEnd::kNotExecuted:
+      return "not-executed";
+    case RunEnd::kBroken:
+      return "broken";
+    case RunEnd::kSilent:
+      return "silent";
+    case RunEnd::kStopped:
+      return "stopped";
+  }
+  return "unknown";
+}
+
 UpstreamRun::UpstreamRun(GatewayParts& parts,
                          Request request,
                          std::shared_ptr<Run> run)
--- a/src/gateway/upstream_run.h
+++ b/src/gateway/upstream_run.h
@@ -25,6 +25,8 @@
   kStopped,      // Stop() was called.
 };
 
+std::string_view ToString(RunEnd end);
+
 // A reply as far as it is kept. Of a stream only the head is.
 struct PassedReply {
   unsigned status = 0;
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -47,10 +47,6 @@
 constexpr uint32_t kMinTokensToLearn = 1000;
 constexpr double kLearnWeight = 0.1;
 
-double Millis(Duration duration) {
-  return static_cast<double>(duration.count()) / 1000;
-}
-
 Duration FromMillis(double ms) {
   return Duration{static_cast<int64_t>(ms * 1000)};
 }
@@ -113,7 +109,7 @@
   }
   const double steady_rate =
       speed.tokens_per_ms / std::max(1.0, upstream.health.latency_ratio);
-  estimate.read_share = use.read_load / (steady_rate * Millis(kReadLoadTime));
+  estimate.read_share = use.read_load / (steady_rate * ToMillis(kReadLoadTime));
   estimate.cost_ms = estimate.start_ms + kCostPerRunMs * use.running +
                      kReadShareCostMs * estimate.read_share;
   if (cached < most_cached) {
@@ -122,7 +118,7 @@
   const Duration pause_target = request.route->pause_target;
   estimate.pause_sensitive =
       pause_target.count() > 0 &&
-      Millis(pause_target) < LongestPauseMs(engine, rate);
+      ToMillis(pause_target) < LongestPauseMs(engine, rate);
   if (estimate.pause_sensitive) {
     estimate.cost_ms += kBrokenPauseMs * BrokenPauseShare(unread, engine) +
                         kSensitiveReadShareMs * estimate.read_share;
@@ -141,7 +137,7 @@
 
 // How long until an engine's read share has faded to `max`, or 0.
 double MsUntilShare(double share, double max) {
-  return share <= max ? 0 : Millis(kReadLoadTime) * std::log(share / max);
+  return share <= max ? 0 : ToMillis(kReadLoadTime) * std::log(share / max);
 }
 
 bool IsUsable(const UpstreamState& upstream,
@@ -186,8 +182,8 @@
                                Time now,
                                uint64_t random) {
   const auto& engine = request.service->engine;
-  const double target_ms = Millis(request.route->latency_target);
-  const double latest_ms = kLatestStartShare * Millis(request.time_left);
+  const double target_ms = ToMillis(request.route->latency_target);
+  const double latest_ms = kLatestStartShare * ToMillis(request.time_left);
   const double max_share = MaxReadShare(*request.route);
   const uint32_t most_cached = MostCached(request, candidates);
   std::optional<Estimate> best;
@@ -227,7 +223,7 @@
   }
   const double mean_share = total_share / static_cast<double>(usable);
   const double busy_ms = MsUntilShare(mean_share, max_share);
-  const bool may_wait = Millis(request.waited) < kDeferShare * target_ms;
+  const bool may_wait = ToMillis(request.waited) < kDeferShare * target_ms;
   const bool is_full =
       chosen == nullptr || busy_ms > 0 || request.higher_was_refused;
   if (is_full && may_wait) {
@@ -250,7 +246,7 @@
   if (tokens < kMinTokensToLearn || first_event.count() <= 0) {
     return;
   }
-  const double seen = std::clamp(tokens / Millis(first_event),
+  const double seen = std::clamp(tokens / ToMillis(first_event),
                                  kMinRateTokensPerMs, kMaxRateTokensPerMs);
   speed.tokens_per_ms += kLearnWeight * (seen - speed.tokens_per_ms);
 }
