Let every instance read the upstreams for itself as well

One instance did not hear of a draining upstream through its peers. Ruled out by the logs: slow readers.

--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -21,6 +21,9 @@
 constexpr milliseconds kUpstreamWait{300};
 constexpr milliseconds kConfigWait{1500};
 constexpr milliseconds kRoleCheckInterval{100};
+// Every instance looks for itself as well, so that no fault in what it hears of
+// peers can keep a leaving upstream in use for the two seconds allowed.
+constexpr Duration kOwnReadInterval = milliseconds(1200);
 constexpr milliseconds kFailurePause{250};
 // A reader without an answer for this long no longer counts as one.
 constexpr Duration kAnswerLifetime = milliseconds(2200);
@@ -78,13 +81,17 @@
 asio::awaitable<void> StoreFeed::Follow(StoreTopic topic) {
   while (true) {
     const Time begun = Now();
-    if (!ShouldRead(begun)) {
-      m_needs_list[topic] = true;
+    const bool is_reader = ShouldRead(begun);
+    const bool is_due = topic == StoreTopic::kUpstreams &&
+                        begun - m_last_read[topic] >= kOwnReadInterval;
+    if (!is_reader && !is_due) {
       co_await Sleep(m_parts.context, kRoleCheckInterval);
       continue;
     }
-    const bool succeeded = m_needs_list[topic] ? co_await ListTopic(topic)
-                                               : co_await ReadTopic(topic);
+    m_last_read[topic] = begun;
+    const bool succeeded = m_needs_list[topic]
+                               ? co_await ListTopic(topic)
+                               : co_await ReadTopic(topic, is_reader);
     if (!succeeded) {
       co_await Sleep(m_parts.context, kFailurePause);
       continue;
@@ -110,9 +117,10 @@
   co_return true;
 }
 
-asio::awaitable<bool> StoreFeed::ReadTopic(StoreTopic topic) {
-  const auto wait =
+asio::awaitable<bool> StoreFeed::ReadTopic(StoreTopic topic, bool may_wait) {
+  const milliseconds longest =
       topic == StoreTopic::kUpstreams ? kUpstreamWait : kConfigWait;
+  const milliseconds wait = may_wait ? longest : milliseconds(0);
   const auto result = co_await m_parts.store.Read(topic, m_next[topic], wait);
   if (std::holds_alternative<HistoryExpired>(result)) {
     NoteAnswer(true, "read", 0);
--- a/src/gateway/store_feed.h
+++ b/src/gateway/store_feed.h
@@ -57,7 +57,7 @@
                      bool is_whole_list,
                      std::string_view source);
   boost::asio::awaitable<bool> ListTopic(StoreTopic topic);
-  boost::asio::awaitable<bool> ReadTopic(StoreTopic topic);
+  boost::asio::awaitable<bool> ReadTopic(StoreTopic topic, bool may_wait);
   void TakeEntries(StoreTopic topic,
                    const std::vector<StoreEntry>& entries,
                    LogOffset end,
@@ -71,6 +71,7 @@
   std::set<std::string> m_unreadable;  // Logged already.
   std::map<StoreTopic, LogOffset> m_next;
   std::map<StoreTopic, bool> m_needs_list;
+  std::map<StoreTopic, Time> m_last_read;
   Time m_last_answer;
   bool m_answers = false;
   bool m_was_answering = true;
