--- a/test/support/gateway_site.cc
+++ b/test/support/gateway_site.cc
@@ -113,16 +113,21 @@
 
 }  // namespace
 
-GatewaySite::GatewaySite(const std::vector<SiteUpstream>& upstreams)
-    : m_address(ClosedAddress()) {
-  auto built = GatewayBuilder()
-                   .WithSettings(SettingsFor(m_address), "")
-                   .WithWireCodec(platform::MakeWireCodec())
-                   .WithStoreCodec(platform::MakeStoreCodec())
-                   .WithStore(std::make_unique<FixedStore>(upstreams))
-                   .WithHandlers(platform::MakeHandlers())
-                   .Build();
-  m_gateway = std::get<std::unique_ptr<Gateway>>(std::move(built));
+// Another process may take a port between its choice and its use.
+GatewaySite::GatewaySite(const std::vector<SiteUpstream>& upstreams) {
+  for (int tries = 0; tries < 10 && !m_gateway; ++tries) {
+    m_address = ClosedAddress();
+    auto built = GatewayBuilder()
+                     .WithSettings(SettingsFor(m_address), "")
+                     .WithWireCodec(platform::MakeWireCodec())
+                     .WithStoreCodec(platform::MakeStoreCodec())
+                     .WithStore(std::make_unique<FixedStore>(upstreams))
+                     .WithHandlers(platform::MakeHandlers())
+                     .Build();
+    if (auto* gateway = std::get_if<std::unique_ptr<Gateway>>(&built)) {
+      m_gateway = std::move(*gateway);
+    }
+  }
   m_thread = std::thread([this] { m_gateway->Run(); });
 }
 
