--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -29,8 +29,8 @@
 constexpr size_t kMaxDatagramBytes = size_t{64} * 1024;
 // What others run is known this much later; a wake-up costs processor time.
 constexpr milliseconds kTickInterval{20};
-// With news. Each digest holds the whole state and crosses failure domains:
-// twice as many cost half a percent of what the larger site can earn.
+// With news. Each digest holds the whole state and crosses failure domains, so
+// several changes share one; loads are known to peers this much later.
 constexpr Duration kDigestInterval = milliseconds(40);
 // Without news, so that peers know that this instance lives.
 constexpr Duration kIdleDigestInterval = milliseconds(400);
