Relay digests in fleets of more than sixteen instances

Cause: every instance told all others its loads up to 25 times a second. Change: the most capable instances relay. Others tell one relay of their own failure domain; relays tell each other the sum of their groups, and each instance of the group the sum of all others. Fleets of up to sixteen do as before. An instance reads the store itself only when no reader that agrees with it was heard for 1.2 s.

--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -31,6 +31,8 @@
   std::string caller_address;  // HTTP, IP:port.
   FailureDomain failure_domain;
   RegionName region;
+  // What it can carry for others, against others; in Mbit/s of its link.
+  uint32_t relay_capacity = 0;
   auto operator<=>(const Member&) const = default;
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -58,6 +58,7 @@
   self.caller_address = settings.caller_address;
   self.failure_domain.value = settings.failure_domain;
   self.region.value = settings.region;
+  self.relay_capacity = static_cast<uint32_t>(settings.link_mbps);
   return self;
 }
 
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr double kMaxFixedRepeats = 1e6;
+constexpr double kMaxLinkMbps = 1e6;
 
 constexpr SettingDoc kDocs[] = {
     {"name", "string", "", "the instance's name, unique among all"},
@@ -25,6 +26,9 @@
     {"peer_address", "IP:port", "", "UDP and TCP between instances"},
     {"metrics_address", "IP:port", "", "HTTP: metrics as text"},
     {"platform_address", "IP:port", "", "the platform's store"},
+    {"link_mbps", "0 to 1000000 Mbit/s", "1000",
+     "what this instance's link carries; in a large fleet, those with the most "
+     "pass on what others run"},
     {"seeds", "list of IP:port", "[]",
      "other instances; peers use the port of `peer_address`"},
     {"retry_share", "0 to 1", "0.2",
@@ -87,6 +91,8 @@
   settings.peer_address = ReadAddressField(reader, "peer_address");
   settings.metrics_address = ReadAddressField(reader, "metrics_address");
   settings.platform_address = ReadAddressField(reader, "platform_address");
+  settings.link_mbps =
+      ReadNumber(reader, "link_mbps", settings.link_mbps, kMaxLinkMbps);
   for (const std::string& seed : reader.Strings("seeds")) {
     if (!ParseTcpAddress(seed)) {
       reader.Fail(OutOfRange{"seeds", "IP:port each"});
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -24,6 +24,7 @@
   std::string peer_address;       // UDP and TCP between instances.
   std::string metrics_address;
   std::string platform_address;
+  double link_mbps = 1000;
   std::vector<std::string> seeds;  // Other instances; see WithPeerPort().
   RetryPolicy retries;
   std::chrono::seconds keep_addresses{1};
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -36,16 +36,25 @@
     }
     entry->add_parts(part);
   }
+  out.set_scope(static_cast<uint32_t>(digest.scope));
+  out.set_relayed_by(digest.relayed_by.value);
+  for (const uint32_t name : digest.serving) {
+    out.add_serving(name);
+  }
   return out.SerializeAsString();
 }
 
 std::optional<PeerDigest> DecodeDigest(std::string_view bytes) {
   wire::PeerDigest in;
   if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
-      in.sender().empty()) {
+      in.sender().empty() ||
+      in.scope() > static_cast<uint32_t>(DigestScope::kAll)) {
     return std::nullopt;
   }
   PeerDigest digest;
+  digest.scope = static_cast<DigestScope>(in.scope());
+  digest.relayed_by.value = in.relayed_by();
+  digest.serving.assign(in.serving().begin(), in.serving().end());
   digest.sender.value = in.sender();
   digest.incarnation.value = in.incarnation();
   digest.sequence = in.sequence();
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
+#include <algorithm>
 #include <charconv>
 
 #include "link/address.h"
@@ -36,8 +37,17 @@
 constexpr Duration kIdleDigestInterval = milliseconds(400);
 constexpr milliseconds kFetchTimeout{600};
 constexpr std::string_view kFetchPath = "/v1/peer/state";
-// A member is given to clients while its digests come.
-constexpr Duration kServingWithin = milliseconds(1300);
+// Digests for the instances that this one relays for. Each holds the loads of
+// all upstreams.
+constexpr Duration kRelayInterval = milliseconds(80);
+// Those digests may take this share of the own link.
+constexpr double kRelayLinkShare = 0.1;
+constexpr size_t kBytesPerUse = 45;  // Encoded, about.
+constexpr double kBitsPerByte = 8;   // And Mbit/s are bits per microsecond.
+// Two idle digests of a relay that did not come.
+constexpr Duration kRelaySilence = milliseconds(900);
+constexpr Duration kRelayRetry = seconds(10);
+constexpr Duration kChooseRelaysInterval = milliseconds(200);
 
 auto Await(error_code& error) {
   return asio::redirect_error(asio::use_awaitable, error);
@@ -107,8 +117,54 @@
   }
 }
 
-void PeerExchange::SendDigest() {
-  const Time now = Now();
+void PeerExchange::SendDigest(const InstanceName& receiver,
+                              const PeerDigest& digest) {
+  if (const Member* member = FindMember(receiver)) {
+    SendTo(member->probe_address,
+           std::string(1, kDigestTag) + EncodeDigest(digest));
+  }
+}
+
+std::vector<RelayCandidate> PeerExchange::LiveCandidates() const {
+  std::vector<RelayCandidate> live;
+  const auto add = [&live](const Member& member) {
+    live.push_back(
+        {member.name, member.failure_domain, member.relay_capacity});
+  };
+  if (!m_leaving) {
+    add(m_members.self);
+  }
+  for (const auto& [name, known] : m_members.members) {
+    if (known.member.status == MemberStatus::kAlive && !known.member.leaving) {
+      add(known.member);
+    }
+  }
+  return live;
+}
+
+void PeerExchange::SendDigests(Time now) {
+  if (m_relays.empty()) {
+    TellAll(now);
+    return;
+  }
+  const RelayCandidate self{m_members.self.name,
+                            m_members.self.failure_domain, 0};
+  const bool is_relay =
+      std::any_of(m_relays.begin(), m_relays.end(),
+                  [&](const auto& relay) { return relay.name == self.name; });
+  m_parts.router.SetRelaying(is_relay);
+  if (is_relay) {
+    TellRelaysAndGroup(now);
+  } else {
+    TellRelay(self, now);
+  }
+}
+
+void PeerExchange::TellAll(Time now) {
+  m_parts.router.SetRelaying(false);
+  if (!IsDigestDue(now)) {
+    return;
+  }
   const PeerDigest digest = m_parts.router.TakeDigestToSend(
       m_leaving, m_parts.feed.ReadsStore(now), now);
   const std::string bytes = std::string(1, kDigestTag) + EncodeDigest(digest);
@@ -118,8 +174,77 @@
       SendTo(known.member.probe_address, bytes);
     }
   }
+}
+
+bool PeerExchange::IsDigestDue(Time now) {
+  const bool has_news = m_tell_soon || m_parts.router.HasChangesToTell();
+  if (now - m_last_digest < (has_news ? kDigestInterval : kIdleDigestInterval)) {
+    return false;
+  }
   m_last_digest = now;
   m_tell_soon = false;
+  return true;
+}
+
+// A relay that does not answer is left for the next one. After a while it may
+// be asked again.
+void PeerExchange::TellRelay(const RelayCandidate& self, Time now) {
+  const auto& peers = m_parts.router.Peers();
+  const auto heard = peers.find(m_relay);
+  const Time last_sign = heard == peers.end()
+                             ? m_relay_since
+                             : std::max(heard->second.heard, m_relay_since);
+  const bool is_silent = now - last_sign >= kRelaySilence;
+  if (is_silent && !m_relay.value.empty()) {
+    m_silent_relays.insert(m_relay);
+  }
+  if (now - m_silent_since >= kRelayRetry || m_silent_relays.empty()) {
+    m_silent_relays.clear();
+    m_silent_since = now;
+  }
+  const auto relay = RelayFor(self, m_relays, m_silent_relays);
+  if (relay && *relay != m_relay) {
+    m_parts.log.Write(LogLevel::kInfo, "relay-chosen",
+                      {{"relay", relay->value},
+                       {"before", m_relay.value},
+                       {"before_silent", is_silent ? "true" : "false"},
+                       {"relays", std::to_string(m_relays.size())}});
+    m_relay = *relay;
+    m_relay_since = now;
+  }
+  if (IsDigestDue(now)) {
+    SendDigest(m_relay,
+               m_parts.router.TakeDigestToSend(
+                   m_leaving, m_parts.feed.ReadsStore(now), now, m_relay));
+  }
+}
+
+void PeerExchange::TellRelaysAndGroup(Time now) {
+  const bool reads_store = m_parts.feed.ReadsStore(now);
+  if (IsDigestDue(now)) {
+    const PeerDigest digest =
+        m_parts.router.TakeGroupDigest(m_leaving, reads_store, now);
+    for (const RelayCandidate& relay : m_relays) {
+      SendDigest(relay.name, digest);
+    }
+  }
+  const Duration interval = m_parts.router.HasChangesToRelay()
+                                ? std::max(kRelayInterval, m_relay_pause)
+                                : kIdleDigestInterval;
+  if (now - m_last_relayed < interval) {
+    return;
+  }
+  m_last_relayed = now;
+  size_t sent_bytes = 0;
+  for (const auto& [name, digest] :
+       m_parts.router.TakeRelayedDigests(m_leaving, reads_store, now)) {
+    SendDigest(name, digest);
+    sent_bytes += kBytesPerUse * digest.uses.size();
+  }
+  const double bytes_per_us = kRelayLinkShare *
+                              m_members.self.relay_capacity / kBitsPerByte;
+  m_relay_pause = Duration{static_cast<int64_t>(
+      static_cast<double>(sent_bytes) / std::max(bytes_per_us, 0.01))};
 }
 
 asio::awaitable<void> PeerExchange::Tick() {
@@ -127,11 +252,11 @@
   while (true) {
     const Time now = Now();
     Carry(TickMembership(m_members, now));
-    const bool has_news = m_tell_soon || m_parts.router.HasChangesToTell();
-    if (now - m_last_digest >=
-        (has_news ? kDigestInterval : kIdleDigestInterval)) {
-      SendDigest();
+    if (now - m_relays_chosen >= kChooseRelaysInterval) {
+      m_relays = ChooseRelays(LiveCandidates());
+      m_relays_chosen = now;
     }
+    SendDigests(now);
     error_code ignored;
     timer.expires_after(kTickInterval);
     co_await timer.async_wait(Await(ignored));
@@ -229,7 +354,8 @@
 void PeerExchange::AnnounceLeaving() {
   m_leaving = true;
   Carry(pomeloring::AnnounceLeaving(m_members, Now()));
-  SendDigest();
+  m_last_digest = Time{};
+  SendDigests(Now());
 }
 
 std::vector<Member> PeerExchange::Serving(Time now) const {
@@ -237,11 +363,13 @@
   if (!m_leaving && m_parts.router.IsReady()) {
     serving.push_back(m_members.self);
   }
-  for (const auto& [name, peer] : m_parts.router.Peers()) {
-    const Member* member = FindMember(name);
-    if (member != nullptr && peer.digest.ready && !peer.digest.leaving &&
-        now - peer.heard < kServingWithin) {
-      serving.push_back(*member);
+  const std::set<uint32_t> elsewhere = m_parts.router.ServingElsewhere(now);
+  for (const auto& [name, known] : m_members.members) {
+    const Member& member = known.member;
+    const bool is_gone = member.status == MemberStatus::kDead ||
+                         member.status == MemberStatus::kLeft;
+    if (!is_gone && elsewhere.contains(ShortHash(name))) {
+      serving.push_back(member);
     }
   }
   return serving;
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -16,6 +16,7 @@
 #include "daemon/log.h"
 #include "gateway/store_feed.h"
 #include "link/http_server.h"
+#include "routing/digest_relay.h"
 #include "routing/router.h"
 
 namespace pomeloring {
@@ -51,7 +52,14 @@
  private:
   void Carry(const MembershipOutput& output);
   void SendTo(const std::string& address, std::string_view bytes);
-  void SendDigest();
+  void SendDigests(Time now);
+  bool IsDigestDue(Time now);
+  void TellAll(Time now);
+  void TellRelay(const RelayCandidate& self, Time now);
+  void TellRelaysAndGroup(Time now);
+  void SendDigest(const InstanceName& receiver, const PeerDigest& digest);
+  // Those that are alive, by what membership says.
+  std::vector<RelayCandidate> LiveCandidates() const;
   void HandleDigestBytes(std::string_view bytes);
   // Fetches what the peer has that was written from `known` on.
   boost::asio::awaitable<void> Fetch(Member peer, LogOffset known);
@@ -64,6 +72,14 @@
   bool m_leaving = false;
   bool m_fetching = false;
   Time m_last_digest;
+  Time m_last_relayed;
+  Duration m_relay_pause{0};  // Until the next round to the group.
+  std::vector<RelayCandidate> m_relays;
+  InstanceName m_relay;  // Whom this instance tells its digests.
+  Time m_relay_since;
+  std::set<InstanceName> m_silent_relays;
+  Time m_silent_since;
+  Time m_relays_chosen;
 };
 
 }  // namespace pomeloring
--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -21,8 +21,9 @@
 constexpr milliseconds kUpstreamWait{300};
 constexpr milliseconds kConfigWait{1500};
 constexpr milliseconds kRoleCheckInterval{100};
-// Every instance looks for itself as well, so that no fault in what it hears of
-// peers can keep a leaving upstream in use for the two seconds allowed.
+// An instance that has not heard for so long from a reader that knows the same
+// as it does looks for itself, so that no fault in what it hears of peers can
+// keep a leaving upstream in use for the two seconds allowed.
 constexpr Duration kOwnReadInterval = milliseconds(1200);
 constexpr milliseconds kFailurePause{250};
 // A reader without an answer for this long no longer counts as one.
@@ -82,8 +83,10 @@
   while (true) {
     const Time begun = Now();
     const bool is_reader = ShouldRead(begun);
+    const Time last_sure =
+        std::max(m_last_read[topic], m_parts.router.AgreedWithReader());
     const bool is_due = topic == StoreTopic::kUpstreams &&
-                        begun - m_last_read[topic] >= kOwnReadInterval;
+                        begun - last_sure >= kOwnReadInterval;
     if (!is_reader && !is_due) {
       co_await Sleep(m_parts.context, kRoleCheckInterval);
       continue;
--- a/src/link/codec.cc
+++ b/src/link/codec.cc
@@ -131,6 +131,7 @@
   out.set_caller_address(member.caller_address);
   out.set_failure_domain(member.failure_domain.value);
   out.set_region(member.region.value);
+  out.set_relay_capacity(member.relay_capacity);
 }
 
 std::optional<Member> Decode(const wire::Member& from) {
@@ -149,6 +150,7 @@
   member.caller_address = from.caller_address();
   member.failure_domain.value = from.failure_domain();
   member.region.value = from.region();
+  member.relay_capacity = from.relay_capacity();
   return member;
 }
 
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -12,6 +12,16 @@
 
 namespace pomeloring {
 
+// Whose runs the `uses` of a digest hold.
+enum class DigestScope {
+  kOwn,    // The sender's.
+  kGroup,  // The sender's and those of the instances that it relays for.
+  kAll,    // Of all instances but the receiver.
+};
+
+// Short for a name where many are listed.
+uint32_t ShortHash(const InstanceName& name);
+
 // Each digest holds the sender's whole state but for `cached_parts`, which has
 // the parts that were added since the one before.
 struct PeerDigest {
@@ -23,9 +33,14 @@
   uint64_t config_version = 0;
   LogOffset upstreams_as_of;
   uint64_t upstreams_hash = 0;  // See UpstreamTable.
-  bool reads_store = false;     // The store itself answered the sender of late.
+  // The store itself answered the sender of late; of kAll: or an instance that
+  // the sender hears of.
+  bool reads_store = false;
   std::vector<std::pair<UpstreamName, UpstreamUse>> uses;
   std::vector<std::pair<UpstreamName, uint64_t>> cached_parts;
+  DigestScope scope = DigestScope::kOwn;
+  InstanceName relayed_by;  // Of kOwn: who passes it on; empty: nobody.
+  std::vector<uint32_t> serving;  // Others that serve, by ShortHash().
 };
 
 }  // namespace pomeloring
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -5,13 +5,9 @@
 namespace pomeloring {
 namespace {
 
-// Of prompt parts in one digest, so that it fits one datagram.
-constexpr size_t kMaxPartsPerDigest = 40;
 // After a refusal, for all lower priorities of the service: two seconds are
 // what a cell's scheduler holds them back as well.
 constexpr Duration kHoldLowerFor = seconds(2);
-// Less says nothing of an upstream's next seconds.
-constexpr double kMinToldReadLoad = 500;
 // How long a peer that is not heard of is remembered.
 constexpr Duration kForgetPeer = seconds(60);
 
@@ -199,10 +195,10 @@
   own.pause_sensitive += run->placement.pause_sensitive ? 1 : 0;
   // Known before it is read: a second request with the same parts that follows
   // at once is best placed behind the first.
-  RememberParts(*run->upstream, run->parts, now);
   for (const PromptPart& part : run->parts) {
-    m_parts_to_tell.emplace_back(run->upstream->record.id, part.id);
+    TellPart(*run->upstream, part.id, now);
   }
+  RememberParts(*run->upstream, run->parts, now);
   m_has_news = true;
   return run;
 }
@@ -234,86 +230,7 @@
   m_has_news = true;
 }
 
-// --- Peers -------------------------------------------------------------------
-
-PeerDigest Router::TakeDigestToSend(bool leaving, bool reads_store, Time now) {
-  PeerDigest digest;
-  digest.sender = m_settings.name;
-  digest.incarnation = m_settings.incarnation;
-  digest.sequence = ++m_digest_sequence;
-  digest.ready = IsReady() && !leaving;
-  digest.leaving = leaving;
-  digest.config_version = m_config ? m_config->version : 0;
-  digest.upstreams_as_of = m_table.as_of;
-  digest.upstreams_hash = m_table.hash;
-  digest.reads_store = reads_store;
-  for (const auto& [name, state] : m_states) {
-    AddReadLoad(*state, 0, now);
-    if (state->own.running > 0 || state->own.read_load > kMinToldReadLoad) {
-      digest.uses.emplace_back(name, state->own);
-    }
-  }
-  const size_t parts = std::min(m_parts_to_tell.size(), kMaxPartsPerDigest);
-  const auto cut = m_parts_to_tell.begin() + static_cast<long>(parts);
-  digest.cached_parts.assign(m_parts_to_tell.begin(), cut);
-  m_parts_to_tell.erase(m_parts_to_tell.begin(), cut);
-  m_has_news = !m_parts_to_tell.empty();
-  return digest;
-}
-
-bool Router::HandleDigest(const PeerDigest& digest, Time now) {
-  auto [found, is_new] = m_peers.try_emplace(digest.sender);
-  PeerState& peer = found->second;
-  const auto order = [](const PeerDigest& d) {
-    return std::pair(d.incarnation, d.sequence);
-  };
-  // An incarnation comes from the time of day, which may have stepped back
-  // before the peer started again: one that was silent is believed.
-  const bool was_silent = now - peer.heard >= m_settings.digest_lifetime;
-  if (!is_new && !was_silent && order(digest) <= order(peer.digest)) {
-    return false;
-  }
-  peer.digest = digest;
-  peer.heard = now;
-  DropPeerUses(digest.sender);
-  for (const auto& [name, use] : digest.uses) {
-    if (const auto state = m_states.find(name); state != m_states.end()) {
-      state->second->of_peers[digest.sender] = use;
-    }
-  }
-  for (const auto& [name, part] : digest.cached_parts) {
-    if (const auto state = m_states.find(name); state != m_states.end()) {
-      const PromptPart known[] = {{part, 0}};
-      RememberParts(*state->second, known, now);
-    }
-  }
-  return true;
-}
-
-void Router::DropPeerUses(const InstanceName& peer) {
-  for (const auto& [name, state] : m_states) {
-    state->of_peers.erase(peer);
-  }
-}
-
-// Not by the offset of the newest change: an instance that knows of a change by
-// a whole list gives it another offset than one that has read the change, and
-// would take the next one for known.
-bool Router::IsBehind(const PeerDigest& digest) const {
-  return digest.config_version > (m_config ? m_config->version : 0) ||
-         (digest.upstreams_as_of.value > 0 &&
-          digest.upstreams_as_of >= m_table.as_of &&
-          digest.upstreams_hash != m_table.hash) ||
-         (digest.upstreams_as_of.value > 0 && !m_table.is_complete);
-}
-
-size_t Router::LivePeers(Time now) const {
-  size_t live = 0;
-  for (const auto& [name, peer] : m_peers) {
-    live += now - peer.heard < m_settings.digest_lifetime ? 1 : 0;
-  }
-  return live;
-}
+// --- Time -------------------------------------------------------------------
 
 void Router::Tick(Time now) {
   std::vector<UpstreamName> ended;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -4,6 +4,7 @@
 #ifndef POMELORING_ROUTING_ROUTER_H_
 #define POMELORING_ROUTING_ROUTER_H_
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -22,6 +23,9 @@
 
 namespace pomeloring {
 
+// An instance is given to callers while its digests come.
+inline constexpr Duration kServingWithin = milliseconds(1300);
+
 struct RouterSettings {
   InstanceName name;
   Incarnation incarnation;
@@ -62,6 +66,8 @@
 // What is known of the store itself.
 enum class StoreSight { kNotSeenYet, kAnswers, kOut };
 
+using ToldPart = std::pair<UpstreamName, uint64_t>;
+
 struct PeerState {
   PeerDigest digest;
   Time heard;
@@ -101,14 +107,29 @@
   void NoteByte(Run& run, Time now) { run.upstream->health.last_byte = now; }
 
   // Peers.
-  PeerDigest TakeDigestToSend(bool leaving, bool reads_store, Time now);
+  // In a large fleet some relay what the others tell; see digest_relay.h.
+  void SetRelaying(bool relays) { m_relays = relays; }
+  // What this instance runs, for `relayed_by` or, where it is empty, for all.
+  PeerDigest TakeDigestToSend(bool leaving,
+                              bool reads_store,
+                              Time now,
+                              const InstanceName& relayed_by = {});
+  // Of a relay: for the other relays, and for each instance that it relays for.
+  PeerDigest TakeGroupDigest(bool leaving, bool reads_store, Time now);
+  std::vector<std::pair<InstanceName, PeerDigest>>
+  TakeRelayedDigests(bool leaving, bool reads_store, Time now);
   bool HasChangesToTell() const { return m_has_news; }
+  bool HasChangesToRelay() const { return m_has_relayed_news; }
   // Returns false for a digest that is older than one seen.
   bool HandleDigest(const PeerDigest& digest, Time now);
   const std::map<InstanceName, PeerState>& Peers() const { return m_peers; }
+  // By ShortHash(): those that peers say serve callers.
+  std::set<uint32_t> ServingElsewhere(Time now) const;
   size_t LivePeers(Time now) const;
   // Whether the sender of `digest` has what this instance lacks.
   bool IsBehind(const PeerDigest& digest) const;
+  // When a peer that reads the store last told of the same state as this one's.
+  Time AgreedWithReader() const { return m_agreed_at; }
 
   void Tick(Time now);
   const RouterSettings& Settings() const { return m_settings; }
@@ -120,6 +141,10 @@
   std::vector<UpstreamState*> Candidates(const ServiceName& service, Time now);
   void SyncStates(std::span<const UpstreamName> changed, Time now);
   void DropPeerUses(const InstanceName& peer);
+  PeerDigest DigestHead(bool leaving, bool reads_store);
+  void TellPart(const UpstreamState& upstream, uint64_t part, Time now);
+  bool IsRelayedHere(const PeerState& peer, Time now) const;
+  void TakeParts(const PeerDigest& digest, Time now);
 
   const RouterSettings m_settings;
   std::shared_ptr<const RoutingConfig> m_config;
@@ -135,9 +160,15 @@
   std::map<ServiceName, std::map<uint32_t, Time>> m_refused;
   std::map<ServiceName, EngineSpeed> m_speeds;
   std::map<InstanceName, PeerState> m_peers;
-  std::vector<std::pair<UpstreamName, uint64_t>> m_parts_to_tell;
+  // Parts that were read of late: for all peers or the other relays, and for
+  // the instances that this one relays for.
+  std::deque<ToldPart> m_parts_to_tell;
+  std::deque<ToldPart> m_parts_to_relay;
   uint64_t m_digest_sequence = 0;
   bool m_has_news = false;
+  bool m_has_relayed_news = false;
+  bool m_relays = false;
+  Time m_agreed_at;
   uint64_t m_random;
 };
 
--- a/src/routing/store_readers.cc
+++ b/src/routing/store_readers.cc
@@ -15,7 +15,13 @@
                      Time now) {
   size_t readers_before = 0;
   for (const auto& [name, peer] : peers) {
-    readers_before += name < self && IsReader(peer, now) ? 1 : 0;
+    if (peer.digest.scope == DigestScope::kAll && IsReader(peer, now)) {
+      return false;  // The relay hears of a reader other than this instance.
+    }
+    // A relay leaves the reading to other relays only.
+    const bool is_relayed = !peer.digest.relayed_by.value.empty();
+    readers_before +=
+        name < self && !is_relayed && IsReader(peer, now) ? 1 : 0;
   }
   return readers_before < kStoreReaders;
 }
--- a/src/routing/upstream_state.cc
+++ b/src/routing/upstream_state.cc
@@ -35,15 +35,28 @@
 
 }  // namespace
 
+void AddUse(UpstreamUse& total, const UpstreamUse& use) {
+  total.running += use.running;
+  for (size_t rank = 0; rank < kUrgencyRanks; ++rank) {
+    total.unread_tokens[rank] += use.unread_tokens[rank];
+  }
+  total.pause_sensitive += use.pause_sensitive;
+  total.read_load += use.read_load;
+}
+
+void SubtractUse(UpstreamUse& total, const UpstreamUse& use) {
+  total.running -= use.running;
+  for (size_t rank = 0; rank < kUrgencyRanks; ++rank) {
+    total.unread_tokens[rank] -= use.unread_tokens[rank];
+  }
+  total.pause_sensitive -= use.pause_sensitive;
+  total.read_load = std::max(0.0, total.read_load - use.read_load);
+}
+
 UpstreamUse TotalUse(const UpstreamState& upstream) {
   UpstreamUse total = upstream.own;
   for (const auto& [peer, use] : upstream.of_peers) {
-    total.running += use.running;
-    for (size_t rank = 0; rank < kUrgencyRanks; ++rank) {
-      total.unread_tokens[rank] += use.unread_tokens[rank];
-    }
-    total.pause_sensitive += use.pause_sensitive;
-    total.read_load += use.read_load;
+    AddUse(total, use);
   }
   return total;
 }
--- a/src/routing/upstream_state.h
+++ b/src/routing/upstream_state.h
@@ -64,6 +64,10 @@
 uint64_t UnreadUpTo(const UpstreamUse& use, size_t rank);
 uint64_t UnreadTokens(const UpstreamUse& use);
 
+void AddUse(UpstreamUse& total, const UpstreamUse& use);
+// `use` is a part of `total`.
+void SubtractUse(UpstreamUse& total, const UpstreamUse& use);
+
 // What all instances run there, as far as is known.
 UpstreamUse TotalUse(const UpstreamState& upstream);
 
--- /dev/null
+++ b/test/routing/large_fleet_shares_loads_test.cc
@@ -0,0 +1,222 @@
+// In a large fleet a few instances pass on what the others run. Each instance
+// still counts the runs of all others, each once, and knows who serves.
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <memory>
+
+#include "routing/digest_relay.h"
+#include "routing/store_readers.h"
+#include "support/routing_site.h"
+
+namespace pomeloring {
+namespace {
+
+constexpr Time kNow{seconds(1000)};
+constexpr int kEngines = 4;
+
+struct Instance {
+  RelayCandidate candidate;
+  std::unique_ptr<Router> router;
+  InstanceName relay;  // Empty for a relay.
+};
+
+using Fleet = std::map<InstanceName, Instance>;
+
+RelayCandidate Candidate(int number, uint32_t capacity) {
+  return {{fmt::format("n{:03}", number)},
+          {fmt::format("d{}", number % 3)},
+          capacity};
+}
+
+// Every eighth instance is large.
+Fleet MakeFleet(int size) {
+  Fleet fleet;
+  std::vector<RelayCandidate> live;
+  for (int i = 0; i < size; ++i) {
+    live.push_back(Candidate(i, i % 8 == 0 ? 200 : 10));
+  }
+  const auto relays = ChooseRelays(live);
+  for (const RelayCandidate& candidate : live) {
+    Instance instance{candidate, ReadyRouter(kEngines, kNow, candidate.name),
+                      {}};
+    const bool relays_too =
+        std::any_of(relays.begin(), relays.end(), [&](const auto& relay) {
+          return relay.name == candidate.name;
+        });
+    instance.router->SetRelaying(relays_too);
+    if (!relays_too) {
+      instance.relay = *RelayFor(candidate, relays, {});
+    }
+    fleet[candidate.name] = std::move(instance);
+  }
+  return fleet;
+}
+
+// Every instance tells what it has to tell, once.
+void TellRound(Fleet& fleet, Time now) {
+  for (auto& [name, instance] : fleet) {
+    if (!instance.relay.value.empty()) {
+      fleet[instance.relay].router->HandleDigest(
+          instance.router->TakeDigestToSend(false, false, now, instance.relay),
+          now);
+    }
+  }
+  for (auto& [name, instance] : fleet) {
+    if (instance.relay.value.empty()) {
+      const PeerDigest digest =
+          instance.router->TakeGroupDigest(false, false, now);
+      for (auto& [other_name, other] : fleet) {
+        if (other.relay.value.empty() && other_name != name) {
+          other.router->HandleDigest(digest, now);
+        }
+      }
+    }
+  }
+  for (auto& [name, instance] : fleet) {
+    if (instance.relay.value.empty()) {
+      for (const auto& [receiver, digest] :
+           instance.router->TakeRelayedDigests(false, false, now)) {
+        fleet[receiver].router->HandleDigest(digest, now);
+      }
+    }
+  }
+}
+
+uint32_t RunsSeen(const Router& router) {
+  uint32_t running = 0;
+  for (const UpstreamState* upstream : router.AllUpstreams()) {
+    running += TotalUse(*upstream).running;
+  }
+  return running;
+}
+
+void StartOneEach(Fleet& fleet) {
+  for (auto& [name, instance] : fleet) {
+    const auto run = instance.router->StartRun(
+        RequestOn(*instance.router, "question", 500), kNow);
+    REQUIRE(std::holds_alternative<std::shared_ptr<Run>>(run));
+  }
+}
+
+TEST_CASE("Every instance of 88 counts the runs of all others once") {
+  Fleet fleet = MakeFleet(88);
+  StartOneEach(fleet);
+  for (int round = 1; round <= 3; ++round) {
+    TellRound(fleet, kNow + milliseconds(40 * round));
+  }
+  for (const auto& [name, instance] : fleet) {
+    CAPTURE(name.value);
+    CHECK(RunsSeen(*instance.router) == 88);
+    CHECK(instance.router->LivePeers(kNow + milliseconds(120)) == 87);
+    CHECK(instance.router->ServingElsewhere(kNow + milliseconds(120)).size() ==
+          87);
+  }
+}
+
+TEST_CASE("What a round costs an instance does not grow with the fleet") {
+  for (const int size : {88, 320}) {
+    Fleet fleet = MakeFleet(size);
+    TellRound(fleet, kNow);
+    for (const auto& [name, instance] : fleet) {
+      CAPTURE(name.value);
+      const size_t heard = instance.router->Peers().size();
+      const bool is_relay = instance.relay.value.empty();
+      // A relay: its group, which may be larger than others', and the relays.
+      CHECK(heard <= (is_relay ? 60 : 1));
+    }
+  }
+}
+
+TEST_CASE("An instance that turns to another relay is not counted twice") {
+  Fleet fleet = MakeFleet(40);
+  StartOneEach(fleet);
+  TellRound(fleet, kNow);
+  std::vector<InstanceName> relays;
+  for (const auto& [name, instance] : fleet) {
+    if (instance.relay.value.empty()) {
+      relays.push_back(name);
+    }
+  }
+  for (auto& [name, instance] : fleet) {
+    if (instance.relay == relays[0]) {
+      instance.relay = relays[1];
+      // The former relay hears it once more, from the path.
+      fleet[relays[0]].router->HandleDigest(
+          instance.router->TakeDigestToSend(false, false, kNow, relays[1]),
+          kNow);
+    }
+  }
+  TellRound(fleet, kNow + milliseconds(40));
+  TellRound(fleet, kNow + milliseconds(80));
+  for (const auto& [name, instance] : fleet) {
+    CAPTURE(name.value);
+    CHECK(RunsSeen(*instance.router) == 40);
+  }
+}
+
+TEST_CASE("A part that one instance had read is known to all") {
+  Fleet fleet = MakeFleet(40);
+  Router& router = *fleet.rbegin()->second.router;
+  RunRequest request = RequestOn(router, "draft", 5000);
+  request.parts = {{77, 4000}};
+  const auto run = std::get<std::shared_ptr<Run>>(router.StartRun(request, kNow));
+  TellRound(fleet, kNow);
+  TellRound(fleet, kNow + milliseconds(40));
+  for (const auto& [name, instance] : fleet) {
+    CAPTURE(name.value);
+    for (const UpstreamState* upstream : instance.router->AllUpstreams()) {
+      CHECK(CachedTokens(*upstream, request.parts) ==
+            (upstream->record.id == run->upstream->record.id ? 4000 : 0));
+    }
+  }
+}
+
+TEST_CASE("The most capable relay, near ones first and silent ones last") {
+  std::vector<RelayCandidate> live;
+  for (int i = 0; i < 16; ++i) {
+    live.push_back(Candidate(i, 10));
+  }
+  CHECK(ChooseRelays(live).empty());
+  for (int i = 16; i < 64; ++i) {
+    live.push_back(Candidate(i, i < 20 ? 200 : 10));
+  }
+  const auto relays = ChooseRelays(live);
+  REQUIRE(relays.size() == 4);
+  for (const RelayCandidate& relay : relays) {
+    CHECK(relay.capacity == 200);
+  }
+  const RelayCandidate self = Candidate(30, 10);
+  const auto near = RelayFor(self, relays, {});
+  REQUIRE(near);
+  CHECK(std::stoi(near->value.substr(1)) % 3 == 0);
+  CHECK(RelayFor(self, relays, {*near}) != near);
+  CHECK_FALSE(RelayFor(self, {}, {}));
+}
+
+TEST_CASE("No instance reads the store whose relay hears of another reader") {
+  std::map<InstanceName, PeerState> peers;
+  PeerState& relay = peers[{"z"}];
+  relay.heard = kNow;
+  relay.digest.scope = DigestScope::kAll;
+  CHECK(ShouldReadStore({"a"}, peers, kNow));
+  relay.digest.reads_store = true;
+  CHECK_FALSE(ShouldReadStore({"a"}, peers, kNow));
+  CHECK(ShouldReadStore({"a"}, peers, kNow + seconds(1)));
+}
+
+TEST_CASE("A relay does not take the word of an instance that it relays for") {
+  std::map<InstanceName, PeerState> peers;
+  const InstanceName relay{"z"};
+  for (const char* name : {"a", "b"}) {
+    PeerState& peer = peers[{name}];
+    peer.heard = kNow;
+    peer.digest.reads_store = true;
+    peer.digest.relayed_by = relay;
+  }
+  CHECK(ShouldReadStore(relay, peers, kNow));
+}
+
+}  // namespace
+}  // namespace pomeloring
--- a/test/support/routing_site.cc
+++ b/test/support/routing_site.cc
@@ -68,9 +68,11 @@
   return config;
 }
 
-std::unique_ptr<Router> ReadyRouter(int engines, Time now) {
+std::unique_ptr<Router> ReadyRouter(int engines,
+                                    Time now,
+                                    const InstanceName& name) {
   RouterSettings settings;
-  settings.name.value = "a";
+  settings.name = name;
   settings.failure_domain.value = "here";
   auto router = std::make_unique<Router>(settings);
   router->TakeConfig(SmallRouting());
--- a/test/support/routing_site.h
+++ b/test/support/routing_site.h
@@ -24,7 +24,9 @@
 std::shared_ptr<const RoutingConfig> SmallRouting(uint64_t version = 1);
 
 // A router that is ready, with `engines` engines named e0, e1, ...
-std::unique_ptr<Router> ReadyRouter(int engines, Time now);
+std::unique_ptr<Router> ReadyRouter(int engines,
+                                    Time now,
+                                    const InstanceName& name = {"a"});
 
 // A request on the route of that name.
 RunRequest RequestOn(const Router& router,
