Name what is wrong with a bench's options and files; compare streams fairly

Each wrong option or file is named now, by a table of cases over all programs. overhead_bench sent all direct calls to one upstream and the routed ones to eight, so that streams seemed to gain by being routed: direct connections are spread the same way now.

--- a/bench/overhead_bench.cc
+++ b/bench/overhead_bench.cc
@@ -22,23 +22,27 @@
 constexpr std::chrono::seconds kRun{2};
 
 struct Target {
-  std::string address;
+  // Connections are spread over them: an instance spreads its calls over all
+  // upstreams, and direct ones on a single upstream would queue there.
+  std::vector<std::string> addresses;
   std::string path;
   std::string body;
 };
 
 // One connection that asks one after the other.
-std::vector<double> AskForAWhile(const Target& target) {
+std::vector<double> AskForAWhile(const Target& target, size_t number) {
+  const std::string& address =
+      target.addresses[number % target.addresses.size()];
   asio::io_context context;
   beast::tcp_stream stream(context);
-  stream.socket().connect(*ParseTcpAddress(target.address));
+  stream.socket().connect(*ParseTcpAddress(address));
   stream.socket().set_option(asio::ip::tcp::no_delay(true));
   beast::flat_buffer buffer;
   std::vector<double> millis;
   const auto end = std::chrono::steady_clock::now() + kRun;
   while (std::chrono::steady_clock::now() < end) {
     http::request<http::string_body> request{http::verb::post, target.path, 11};
-    request.set(http::field::host, target.address);
+    request.set(http::field::host, address);
     request.set(http::field::authorization, "Bearer key");
     request.set("Pomeloring-Class",
                 target.path.starts_with("/v1") ? "question" : "stamp");
@@ -69,7 +73,7 @@
   std::vector<std::vector<double>> of_thread(connections);
   std::vector<std::thread> threads;
   for (size_t i = 0; i < connections; ++i) {
-    threads.emplace_back([&, i] { of_thread[i] = AskForAWhile(target); });
+    threads.emplace_back([&, i] { of_thread[i] = AskForAWhile(target, i); });
   }
   std::vector<double> all;
   for (size_t i = 0; i < connections; ++i) {
@@ -99,12 +103,20 @@
 
 int main() {
   using namespace pomeloring;
-  test::RunningSite site({.instances = 1, .engines = 8, .ledgers = 8});
+  constexpr int kUpstreams = 8;
+  test::RunningSite site(
+      {.instances = 1, .engines = kUpstreams, .ledgers = kUpstreams});
   site.PublishAndWait();
-  Compare("whole", {site.LedgerAddress(0), "/ledger/stamps", "bottle"},
-          {site.CallerAddress(0), "/ledger/stamps", "bottle"});
+  std::vector<std::string> ledgers;
+  std::vector<std::string> engines;
+  for (int i = 0; i < kUpstreams; ++i) {
+    ledgers.push_back(site.LedgerAddress(i));
+    engines.push_back(site.EngineAddress(i));
+  }
+  Compare("whole", {ledgers, "/ledger/stamps", "bottle"},
+          {{site.CallerAddress(0)}, "/ledger/stamps", "bottle"});
   const std::string body = R"({"model":"cask-7b","stream":true,"max_tokens":8,)"
                            R"("messages":[{"role":"user","content":"q"}]})";
-  Compare("streamed", {site.EngineAddress(0), "/v1/chat/completions", body},
-          {site.CallerAddress(0), "/v1/chat/completions", body});
+  Compare("streamed", {engines, "/v1/chat/completions", body},
+          {{site.CallerAddress(0)}, "/v1/chat/completions", body});
 }
--- a/bench/policy/policy_bench.cc
+++ b/bench/policy/policy_bench.cc
@@ -4,6 +4,7 @@
 #include <getopt.h>
 
 #include <boost/json.hpp>
+#include <charconv>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -38,7 +39,8 @@
   bool json = false;
 };
 
-bool ParseOptions(int argc, char** argv, Options& options) {
+// Returns what is wrong with the options, or nothing.
+std::string ParseOptions(int argc, char** argv, Options& options) {
   int choice = 0;
   while ((choice = getopt_long(argc, argv, "d:w:p:s:j", kOptions, nullptr)) !=
          -1) {
@@ -52,23 +54,36 @@
       case 'p':
         options.policy = optarg;
         break;
-      case 's':
-        options.seed = std::strtoull(optarg, nullptr, 10);
+      case 's': {
+        const std::string_view text = optarg;
+        const auto read = std::from_chars(
+            text.data(), text.data() + text.size(), options.seed);
+        if (read.ec != std::errc{} || read.ptr != text.data() + text.size()) {
+          return fmt::format("--seed: not a whole number: '{}'", text);
+        }
         break;
+      }
       case 'j':
         options.json = true;
         break;
       default:
-        return false;
+        return "see the usage above";
     }
   }
-  const bool is_known =
-      options.policy == "bound" || ParsePolicy(options.policy).has_value();
-  return !options.deployment.empty() && !options.workload.empty() && is_known;
+  if (options.deployment.empty() || options.workload.empty()) {
+    return "--deployment and --workload have to name a file each";
+  }
+  if (options.policy != "bound" && !ParsePolicy(options.policy)) {
+    return fmt::format("--policy: no policy is called '{}'", options.policy);
+  }
+  return optind == argc ? "" : fmt::format("'{}' is no option", argv[optind]);
 }
 
-std::string ReadFile(const std::string& path) {
+std::optional<std::string> ReadFile(const std::string& path) {
   std::ifstream file(path);
+  if (!file) {
+    return std::nullopt;
+  }
   std::ostringstream text;
   text << file.rdbuf();
   return text.str();
@@ -123,30 +138,44 @@
   }
 }
 
+constexpr int kBadUsage = 2;
+constexpr int kBadFile = 3;
+
+int FailFile(const std::string& path, std::string_view why) {
+  fmt::print(stderr, "policy_bench: {}: {}\n", path, why);
+  return kBadFile;
+}
+
 int Main(int argc, char** argv) {
   Options options;
-  if (!ParseOptions(argc, argv, options)) {
-    fmt::print(stderr, "{}", kUsage);
-    return 2;
+  if (const auto wrong = ParseOptions(argc, argv, options); !wrong.empty()) {
+    fmt::print(stderr, "{}policy_bench: {}\n", kUsage, wrong);
+    return kBadUsage;
   }
-  const std::string config_text = ReadFile(options.deployment);
-  const auto parsed = ParseConfiguration(config_text);
+  const auto config_text = ReadFile(options.deployment);
+  const auto workload_text = ReadFile(options.workload);
+  if (!config_text || !workload_text) {
+    return FailFile(config_text ? options.workload : options.deployment,
+                    "can't be read");
+  }
+  const auto parsed = ParseConfiguration(*config_text);
   if (const auto* error = std::get_if<ConfigurationError>(&parsed)) {
-    fmt::print(stderr, "{}: {}\n", options.deployment, Describe(*error));
-    return 3;
+    return FailFile(options.deployment, Describe(*error));
   }
-  const auto parsed_workload = ParseWorkload(ReadFile(options.workload));
+  const auto parsed_workload = ParseWorkload(*workload_text);
   if (const auto* error = std::get_if<ConfigurationError>(&parsed_workload)) {
-    fmt::print(stderr, "{}: {}\n", options.workload, Describe(*error));
-    return 3;
+    return FailFile(options.workload, Describe(*error));
   }
   const auto& configuration = std::get<Configuration>(parsed);
   const auto& workload = std::get<Workload>(parsed_workload);
+  if (const auto error = CheckWorkload(workload, configuration)) {
+    return FailFile(options.workload, Describe(*error));
+  }
   const auto trace = MakeTrace(workload, configuration, options.seed);
   const Score score =
       options.policy == "bound"
           ? MakeBound(workload, configuration, trace)
-          : RunPolicy(*ParsePolicy(options.policy), workload, config_text,
+          : RunPolicy(*ParsePolicy(options.policy), workload, *config_text,
                       configuration, trace, options.seed);
   if (options.json) {
     PrintJson(options, workload, score);
--- a/bench/policy/workload.cc
+++ b/bench/policy/workload.cc
@@ -275,6 +275,22 @@
   return best;
 }
 
+std::optional<ConfigurationError> CheckWorkload(
+    const Workload& workload,
+    const Configuration& configuration) {
+  for (const ClassWorkload& of_class : workload.classes) {
+    if (!configuration.classes.contains(of_class.name)) {
+      return UnknownReference{"classes.class", of_class.name.value};
+    }
+    for (const AccountName& account : of_class.accounts) {
+      if (!configuration.accounts.contains(account)) {
+        return UnknownReference{"classes.accounts", account.value};
+      }
+    }
+  }
+  return std::nullopt;
+}
+
 std::vector<TracedRequest> MakeTrace(const Workload& workload,
                                      const Configuration& configuration,
                                      uint64_t seed) {
--- a/bench/policy/workload.h
+++ b/bench/policy/workload.h
@@ -69,6 +69,11 @@
 
 std::variant<Workload, ConfigurationError> ParseWorkload(std::string_view text);
 
+// Says what a workload names that the deployment lacks.
+std::optional<ConfigurationError> CheckWorkload(
+    const Workload& workload,
+    const Configuration& configuration);
+
 // One request of the trace that a workload and a seed give.
 struct TracedRequest {
   Duration at{0};
--- /dev/null
+++ b/test/error/programs_name_what_is_wrong_test.cc
@@ -0,0 +1,74 @@
+// Bad options and files give a line that names them and a distinct exit code;
+// no program ends by an exception.
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+
+#include "support/process.h"
+
+namespace pomeloring {
+namespace {
+
+constexpr int kUsage = 2;
+constexpr int kBadFile = 3;
+const std::string kSource = POMELORING_SOURCE;
+
+struct Case {
+  std::string program;
+  std::vector<std::string> arguments;
+  int exit_code = 0;
+  std::string named;  // On standard error.
+};
+
+std::string Example(const std::string& name) {
+  return kSource + "/examples/" + name;
+}
+
+std::string WorkloadFile(const std::string& name) {
+  return kSource + "/bench/workloads/" + name;
+}
+
+TEST_CASE("Each program names the option or the file that is wrong") {
+  const std::string sodarna = Example("sodarna.json");
+  const std::string workload = WorkloadFile("sodarna-070.json");
+  const std::vector<Case> cases = {
+      {"policy_bench", {}, kUsage, "--deployment"},
+      {"policy_bench", {"--deployment", sodarna, "--workload", ""}, kUsage,
+       "--workload"},
+      {"policy_bench",
+       {"--deployment", sodarna, "--workload", workload, "--policy", "best"},
+       kUsage, "'best'"},
+      {"policy_bench",
+       {"--deployment", sodarna, "--workload", workload, "--seed", "one"},
+       kUsage, "--seed"},
+      {"policy_bench", {"--deployment", "none.json", "--workload", workload},
+       kBadFile, "none.json: can't be read"},
+      {"policy_bench", {"--deployment", workload, "--workload", workload},
+       kBadFile, "sodarna-070.json"},
+      {"policy_bench",
+       {"--deployment", sodarna, "--workload",
+        WorkloadFile("daugavas-070.json")},
+       kBadFile, "daugavas-070.json"},
+      {"pomeloring-gateway", {}, kUsage, "--settings"},
+      {"pomeloring-gateway", {"--settings", "none.json"}, kBadFile,
+       "none.json"},
+      {"pomeloring-gateway", {"--settings", sodarna}, kBadFile,
+       "sodarna.json"},
+      {"pomeloring-node", {"--settings", "none.json"}, kBadFile, "none.json"},
+  };
+  for (const Case& wrong : cases) {
+    std::string command = wrong.program;
+    for (const std::string& argument : wrong.arguments) {
+      command += " " + argument;
+    }
+    CAPTURE(command);
+    const test::ProgramEnd end =
+        test::RunToEnd(wrong.program, wrong.arguments);
+    CHECK(end.exit_code == wrong.exit_code);
+    CHECK(end.output.find(wrong.named) != std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace pomeloring
--- a/test/support/process.cc
+++ b/test/support/process.cc
@@ -7,11 +7,14 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
+#include <iterator>
 
 namespace pomeloring::test {
 
 Process::Process(const std::string& program,
-                 std::vector<std::string> arguments) {
+                 std::vector<std::string> arguments,
+                 const std::string& output) {
   const std::string path = std::string(POMELORING_BIN) + "/" + program;
   std::vector<char*> argv{const_cast<char*>(path.c_str())};
   for (std::string& argument : arguments) {
@@ -21,11 +24,12 @@
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   const char* show = std::getenv("POMELORING_TEST_OUTPUT");
-  if (show == nullptr) {
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null",
-                                     O_WRONLY, 0);
-    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, "/dev/null",
-                                     O_WRONLY, 0);
+  if (show == nullptr || !output.empty()) {
+    const std::string file = output.empty() ? "/dev/null" : output;
+    for (const int stream : {STDOUT_FILENO, STDERR_FILENO}) {
+      posix_spawn_file_actions_addopen(&actions, stream, file.c_str(),
+                                       O_WRONLY | O_CREAT | O_APPEND, 0600);
+    }
   }
   posix_spawn(&m_pid, path.c_str(), &actions, nullptr, argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
@@ -55,4 +59,16 @@
   return Process(program, std::move(arguments)).Wait();
 }
 
+ProgramEnd RunToEnd(const std::string& program,
+                    std::vector<std::string> arguments) {
+  char path[] = "/tmp/pomeloring-output-XXXXXX";
+  close(mkstemp(path));
+  ProgramEnd end;
+  end.exit_code = Process(program, std::move(arguments), path).Wait();
+  std::ifstream file(path);
+  end.output.assign(std::istreambuf_iterator<char>(file), {});
+  unlink(path);
+  return end;
+}
+
 }  // namespace pomeloring::test
--- a/test/support/process.h
+++ b/test/support/process.h
@@ -12,8 +12,11 @@
 
 class Process {
  public:
-  // Starts a program of the build's bin folder.
-  Process(const std::string& program, std::vector<std::string> arguments);
+  // Starts a program of the build's bin folder. What it prints is appended to
+  // the file `output`, or dropped where that is empty.
+  Process(const std::string& program,
+          std::vector<std::string> arguments,
+          const std::string& output = "");
   // Kills it if it still runs.
   ~Process();
   Process(const Process&) = delete;
@@ -30,6 +33,15 @@
 // Runs a program to its end and returns its exit code.
 int RunProgram(const std::string& program, std::vector<std::string> arguments);
 
+struct ProgramEnd {
+  int exit_code = 0;
+  std::string output;  // Standard output and standard error.
+};
+
+// The same, and returns what it printed.
+ProgramEnd RunToEnd(const std::string& program,
+                    std::vector<std::string> arguments);
+
 }  // namespace pomeloring::test
 
 #endif  // POMELORING_TEST_SUPPORT_PROCESS_H_
