Tell peers only the uses that have changed between whole digests

Change: whole digests every 400 ms, in between only the uses that have changed; read loads fade at the receiver. An instance that turns to another relay tells both at once.

--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -36,6 +36,7 @@
     }
     entry->add_parts(part);
   }
+  out.set_has_changed_uses_only(digest.has_changed_uses_only);
   out.set_scope(static_cast<uint32_t>(digest.scope));
   out.set_relayed_by(digest.relayed_by.value);
   for (const uint32_t name : digest.serving) {
@@ -54,6 +55,7 @@
   PeerDigest digest;
   digest.scope = static_cast<DigestScope>(in.scope());
   digest.relayed_by.value = in.relayed_by();
+  digest.has_changed_uses_only = in.has_changed_uses_only();
   digest.serving.assign(in.serving().begin(), in.serving().end());
   digest.sender.value = in.sender();
   digest.incarnation.value = in.incarnation();
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -203,7 +203,10 @@
     m_silent_since = now;
   }
   const auto relay = RelayFor(self, m_relays, m_silent_relays);
+  InstanceName former;
   if (relay && *relay != m_relay) {
+    former = m_relay;
+    m_last_digest = Time{};
     m_parts.log.Write(LogLevel::kInfo, "relay-chosen",
                       {{"relay", relay->value},
                        {"before", m_relay.value},
@@ -213,9 +216,11 @@
     m_relay_since = now;
   }
   if (IsDigestDue(now)) {
-    SendDigest(m_relay,
-               m_parts.router.TakeDigestToSend(
-                   m_leaving, m_parts.feed.ReadsStore(now), now, m_relay));
+    const PeerDigest digest = m_parts.router.TakeDigestToSend(
+        m_leaving, m_parts.feed.ReadsStore(now), now, m_relay);
+    SendDigest(m_relay, digest);
+    // Or it would go on counting what the new one counts now.
+    SendDigest(former, digest);
   }
 }
 
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -23,7 +23,7 @@
 uint32_t ShortHash(const InstanceName& name);
 
 // Each digest holds the sender's whole state but for `cached_parts`, which has
-// the parts that were added since the one before.
+// the parts that were added since the one before, and for `uses` if it says so.
 struct PeerDigest {
   InstanceName sender;
   Incarnation incarnation;
@@ -36,6 +36,8 @@
   // The store itself answered the sender of late; of kAll: or an instance that
   // the sender hears of.
   bool reads_store = false;
+  // Only those uses that have changed, with those that have ended as nothing.
+  bool has_changed_uses_only = false;
   std::vector<std::pair<UpstreamName, UpstreamUse>> uses;
   std::vector<std::pair<UpstreamName, uint64_t>> cached_parts;
   DigestScope scope = DigestScope::kOwn;
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -157,7 +157,7 @@
   }
   const auto candidates = Candidates(request.service, now);
   for (UpstreamState* candidate : candidates) {
-    AddReadLoad(*candidate, 0, now);
+    FadeReadLoads(*candidate, now);
   }
   const PlacementRequest wanted{request.route,
                                 &service->second,
@@ -191,7 +191,7 @@
   UpstreamUse& own = run->upstream->own;
   ++own.running;
   own.unread_tokens[run->placement.rank] += run->placement.unread_tokens;
-  AddReadLoad(*run->upstream, run->placement.unread_tokens, now);
+  own.read_load += run->placement.unread_tokens;
   own.pause_sensitive += run->placement.pause_sensitive ? 1 : 0;
   // Known before it is read: a second request with the same parts that follows
   // at once is best placed behind the first.
@@ -199,7 +199,7 @@
     TellPart(*run->upstream, part.id, now);
   }
   RememberParts(*run->upstream, run->parts, now);
-  m_has_news = true;
+  NoteUse(*run);
   return run;
 }
 
@@ -215,7 +215,7 @@
     LearnPrefill(m_speeds[run.service], run.placement.unread_tokens, elapsed);
   }
   LearnStart(run.upstream->health, run.placement.expected_start, elapsed);
-  m_has_news = true;
+  NoteUse(run);
 }
 
 void Router::EndRun(Run& run, RunOutcome outcome, Time now) {
@@ -227,7 +227,7 @@
   --own.running;
   own.pause_sensitive -= run.placement.pause_sensitive ? 1 : 0;
   LearnOutcome(run.upstream->health, outcome, 0, now);
-  m_has_news = true;
+  NoteUse(run);
 }
 
 // --- Time -------------------------------------------------------------------
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -69,7 +69,8 @@
 using ToldPart = std::pair<UpstreamName, uint64_t>;
 
 struct PeerState {
-  PeerDigest digest;
+  PeerDigest digest;           // The last one, without its uses and parts.
+  std::set<UpstreamName> used;  // Where its uses are counted.
   Time heard;
 };
 
@@ -143,7 +144,10 @@
   void DropPeerUses(const InstanceName& peer);
   PeerDigest DigestHead(bool leaving, bool reads_store);
   void TellPart(const UpstreamState& upstream, uint64_t part, Time now);
+  // What this instance runs at an upstream has changed.
+  void NoteUse(const Run& run);
   bool IsRelayedHere(const PeerState& peer, Time now) const;
+  void TakeUses(PeerState& peer, const PeerDigest& digest, Time now);
   void TakeParts(const PeerDigest& digest, Time now);
 
   const RouterSettings m_settings;
@@ -164,6 +168,10 @@
   // the instances that this one relays for.
   std::deque<ToldPart> m_parts_to_tell;
   std::deque<ToldPart> m_parts_to_relay;
+  // Where the own use has changed since it was told last.
+  std::set<UpstreamName> m_uses_to_tell;
+  Time m_told_all;
+  InstanceName m_told_to;
   uint64_t m_digest_sequence = 0;
   bool m_has_news = false;
   bool m_has_relayed_news = false;
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -12,6 +12,9 @@
 // A part that all know is told again this often, for peers that have started
 // since or lost the datagram.
 constexpr Duration kTellPartAgain = seconds(2);
+// In between only uses that have changed are told: whole digests were most of
+// the bytes between failure domains. A lost one is made good this much later.
+constexpr Duration kTellAllInterval = milliseconds(400);
 // Less says nothing of an upstream's next seconds.
 constexpr double kMinToldReadLoad = 500;
 
@@ -54,6 +57,11 @@
   }
 }
 
+void Router::NoteUse(const Run& run) {
+  m_uses_to_tell.insert(run.upstream->record.id);
+  m_has_news = true;
+}
+
 PeerDigest Router::DigestHead(bool leaving, bool reads_store) {
   PeerDigest digest;
   digest.sender = m_settings.name;
@@ -74,12 +82,18 @@
                                     const InstanceName& relayed_by) {
   PeerDigest digest = DigestHead(leaving, reads_store);
   digest.relayed_by = relayed_by;
+  digest.has_changed_uses_only =
+      relayed_by == m_told_to && now - m_told_all < kTellAllInterval;
+  m_told_to = relayed_by;
+  m_told_all = digest.has_changed_uses_only ? m_told_all : now;
   for (const auto& [name, state] : m_states) {
-    AddReadLoad(*state, 0, now);
-    if (IsWorthTelling(state->own)) {
+    FadeReadLoads(*state, now);
+    if (digest.has_changed_uses_only ? m_uses_to_tell.contains(name)
+                                     : IsWorthTelling(state->own)) {
       digest.uses.emplace_back(name, state->own);
     }
   }
+  m_uses_to_tell.clear();
   digest.cached_parts = TakeFront(m_parts_to_tell);
   m_has_news = !m_parts_to_tell.empty();
   return digest;
@@ -93,6 +107,7 @@
 PeerDigest Router::TakeGroupDigest(bool leaving, bool reads_store, Time now) {
   PeerDigest digest = DigestHead(leaving, reads_store);
   digest.scope = DigestScope::kGroup;
+  m_told_all = {};  // Nobody has been told the own uses alone.
   std::set<InstanceName> group;
   for (const auto& [name, peer] : m_peers) {
     if (IsRelayedHere(peer, now)) {
@@ -103,7 +118,7 @@
     }
   }
   for (const auto& [name, state] : m_states) {
-    AddReadLoad(*state, 0, now);
+    FadeReadLoads(*state, now);
     UpstreamUse use = state->own;
     for (const auto& [peer, of_peer] : state->of_peers) {
       if (group.contains(peer)) {
@@ -127,7 +142,7 @@
   const std::set<uint32_t> serving = ServingElsewhere(now);
   std::vector<std::pair<UpstreamState*, UpstreamUse>> totals;
   for (const auto& [name, state] : m_states) {
-    AddReadLoad(*state, 0, now);
+    FadeReadLoads(*state, now);
     totals.emplace_back(state.get(), TotalUse(*state));
   }
   std::vector<std::pair<InstanceName, PeerDigest>> digests;
@@ -177,8 +192,12 @@
   if (!is_new && !was_silent && order(digest) <= order(peer.digest)) {
     return false;
   }
-  DropPeerUses(digest.sender);
+  if (!digest.has_changed_uses_only) {
+    DropPeerUses(digest.sender);
+  }
   peer.digest = digest;
+  peer.digest.uses.clear();
+  peer.digest.cached_parts.clear();
   peer.heard = now;
   if (digest.scope == DigestScope::kAll) {
     // It counts what others have told before.
@@ -191,12 +210,10 @@
   // Another relay counts what it relays.
   const bool is_counted_elsewhere = !digest.relayed_by.value.empty() &&
                                     digest.relayed_by != m_settings.name;
-  if (!is_counted_elsewhere) {
-    for (const auto& [name, use] : digest.uses) {
-      if (const auto state = m_states.find(name); state != m_states.end()) {
-        state->second->of_peers[digest.sender] = use;
-      }
-    }
+  if (is_counted_elsewhere) {
+    DropPeerUses(digest.sender);
+  } else {
+    TakeUses(peer, digest, now);
   }
   TakeParts(digest, now);
   m_has_relayed_news |= m_relays;
@@ -208,6 +225,23 @@
   return true;
 }
 
+void Router::TakeUses(PeerState& peer, const PeerDigest& digest, Time now) {
+  for (const auto& [name, use] : digest.uses) {
+    const auto state = m_states.find(name);
+    if (state == m_states.end()) {
+      continue;
+    }
+    FadeReadLoads(*state->second, now);
+    if (IsWorthTelling(use)) {
+      state->second->of_peers[digest.sender] = use;
+      peer.used.insert(name);
+    } else {
+      state->second->of_peers.erase(digest.sender);
+      peer.used.erase(name);
+    }
+  }
+}
+
 void Router::TakeParts(const PeerDigest& digest, Time now) {
   const bool is_relayed_here = digest.relayed_by == m_settings.name;
   for (const auto& [name, part] : digest.cached_parts) {
@@ -231,12 +265,12 @@
   if (found == m_peers.end()) {
     return;
   }
-  for (const auto& [name, use] : found->second.digest.uses) {
+  for (const UpstreamName& name : found->second.used) {
     if (const auto state = m_states.find(name); state != m_states.end()) {
       state->second->of_peers.erase(peer);
     }
   }
-  found->second.digest.uses.clear();
+  found->second.used.clear();
 }
 
 // Not by the offset of the newest change: an instance that knows of a change by
--- a/src/routing/upstream_state.cc
+++ b/src/routing/upstream_state.cc
@@ -73,12 +73,18 @@
   return UnreadUpTo(use, kUrgencyRanks - 1);
 }
 
-void AddReadLoad(UpstreamState& upstream, double tokens, Time now) {
+void FadeReadLoads(UpstreamState& upstream, Time now) {
+  if (now <= upstream.read_load_at) {
+    return;
+  }
   const auto elapsed =
       static_cast<double>((now - upstream.read_load_at).count());
-  upstream.own.read_load *=
+  const double kept =
       std::exp(-elapsed / static_cast<double>(kReadLoadTime.count()));
-  upstream.own.read_load += tokens;
+  upstream.own.read_load *= kept;
+  for (auto& [peer, use] : upstream.of_peers) {
+    use.read_load *= kept;
+  }
   upstream.read_load_at = now;
 }
 
--- a/src/routing/upstream_state.h
+++ b/src/routing/upstream_state.h
@@ -54,7 +54,7 @@
   bool is_gone = false;
   Time first_seen;
   UpstreamUse own;
-  Time read_load_at;  // Of `own.read_load`.
+  Time read_load_at;  // Of `own.read_load` and those of peers.
   std::map<InstanceName, UpstreamUse> of_peers;
   UpstreamHealth health;
   std::unordered_map<uint64_t, Time> cached_parts;  // By id: last use.
@@ -71,8 +71,8 @@
 // What all instances run there, as far as is known.
 UpstreamUse TotalUse(const UpstreamState& upstream);
 
-// Lets the own read load fade up to `now`, and adds `tokens` to it.
-void AddReadLoad(UpstreamState& upstream, double tokens, Time now);
+// Lets the read loads of all instances fade up to `now`.
+void FadeReadLoads(UpstreamState& upstream, Time now);
 
 // Returns how many tokens at the front of the prompt the upstream keeps.
 uint32_t CachedTokens(const UpstreamState& upstream,
