--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -2,13 +2,13 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
-#include <algorithm>
 #include <charconv>
 
 #include "link/address.h"
@@ -128,8 +128,7 @@
 std::vector<RelayCandidate> PeerExchange::LiveCandidates() const {
   std::vector<RelayCandidate> live;
   const auto add = [&live](const Member& member) {
-    live.push_back(
-        {member.name, member.failure_domain, member.relay_capacity});
+    live.push_back({member.name, member.failure_domain, member.relay_capacity});
   };
   if (!m_leaving) {
     add(m_members.self);
@@ -147,8 +146,8 @@
     TellAll(now);
     return;
   }
-  const RelayCandidate self{m_members.self.name,
-                            m_members.self.failure_domain, 0};
+  const RelayCandidate self{m_members.self.name, m_members.self.failure_domain,
+                            0};
   const bool is_relay =
       std::any_of(m_relays.begin(), m_relays.end(),
                   [&](const auto& relay) { return relay.name == self.name; });
@@ -178,7 +177,8 @@
 
 bool PeerExchange::IsDigestDue(Time now) {
   const bool has_news = m_tell_soon || m_parts.router.HasChangesToTell();
-  if (now - m_last_digest < (has_news ? kDigestInterval : kIdleDigestInterval)) {
+  if (now - m_last_digest <
+      (has_news ? kDigestInterval : kIdleDigestInterval)) {
     return false;
   }
   m_last_digest = now;
@@ -246,8 +246,8 @@
     SendDigest(name, digest);
     sent_bytes += kBytesPerUse * digest.uses.size();
   }
-  const double bytes_per_us = kRelayLinkShare *
-                              m_members.self.relay_capacity / kBitsPerByte;
+  const double bytes_per_us =
+      kRelayLinkShare * m_members.self.relay_capacity / kBitsPerByte;
   m_relay_pause = Duration{static_cast<int64_t>(
       static_cast<double>(sent_bytes) / std::max(bytes_per_us, 0.01))};
 }
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -41,7 +41,7 @@
   std::vector<std::pair<UpstreamName, UpstreamUse>> uses;
   std::vector<std::pair<UpstreamName, uint64_t>> cached_parts;
   DigestScope scope = DigestScope::kOwn;
-  InstanceName relayed_by;  // Of kOwn: who passes it on; empty: nobody.
+  InstanceName relayed_by;        // Of kOwn: who passes it on; empty: nobody.
   std::vector<uint32_t> serving;  // Others that serve, by ShortHash().
 };
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -69,7 +69,7 @@
 using ToldPart = std::pair<UpstreamName, uint64_t>;
 
 struct PeerState {
-  PeerDigest digest;           // The last one, without its uses and parts.
+  PeerDigest digest;            // The last one, without its uses and parts.
   std::set<UpstreamName> used;  // Where its uses are counted.
   Time heard;
 };
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -5,7 +5,8 @@
 namespace pomeloring {
 namespace {
 
-// Of prompt parts in one digest, so that it fits a datagram with room for loads.
+// Of prompt parts in one digest, so that it fits a datagram with room for
+// loads.
 constexpr size_t kMaxPartsPerDigest = 100;
 // While peers can't be told; the oldest are dropped.
 constexpr size_t kMaxPartsToTell = 2000;
@@ -134,10 +135,8 @@
   return digest;
 }
 
-std::vector<std::pair<InstanceName, PeerDigest>> Router::TakeRelayedDigests(
-    bool leaving,
-    bool reads_store,
-    Time now) {
+std::vector<std::pair<InstanceName, PeerDigest>>
+Router::TakeRelayedDigests(bool leaving, bool reads_store, Time now) {
   const auto parts = TakeFront(m_parts_to_relay);
   const std::set<uint32_t> serving = ServingElsewhere(now);
   std::vector<std::pair<UpstreamState*, UpstreamUse>> totals;
@@ -153,13 +152,11 @@
     PeerDigest digest = DigestHead(leaving, reads_store);
     digest.scope = DigestScope::kAll;
     digest.reads_store =
-        reads_store || std::any_of(m_peers.begin(), m_peers.end(),
-                                   [&](const auto& other) {
-                                     return other.first != name &&
-                                            other.second.digest.reads_store &&
-                                            now - other.second.heard <
-                                                m_settings.digest_lifetime;
-                                   });
+        reads_store ||
+        std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& other) {
+          return other.first != name && other.second.digest.reads_store &&
+                 now - other.second.heard < m_settings.digest_lifetime;
+        });
     digest.serving.assign(serving.begin(), serving.end());
     digest.cached_parts = parts;
     for (const auto& [state, total] : totals) {
@@ -208,8 +205,8 @@
     }
   }
   // Another relay counts what it relays.
-  const bool is_counted_elsewhere = !digest.relayed_by.value.empty() &&
-                                    digest.relayed_by != m_settings.name;
+  const bool is_counted_elsewhere =
+      !digest.relayed_by.value.empty() && digest.relayed_by != m_settings.name;
   if (is_counted_elsewhere) {
     DropPeerUses(digest.sender);
   } else {
@@ -218,8 +215,8 @@
   TakeParts(digest, now);
   m_has_relayed_news |= m_relays;
   m_has_news |= m_relays && IsRelayedHere(peer, now);
-  if (digest.reads_store && digest.upstreams_hash == m_table.hash &&
-      m_config && digest.config_version == m_config->version) {
+  if (digest.reads_store && digest.upstreams_hash == m_table.hash && m_config &&
+      digest.config_version == m_config->version) {
     m_agreed_at = now;
   }
   return true;
--- a/src/routing/store_readers.cc
+++ b/src/routing/store_readers.cc
@@ -20,8 +20,7 @@
     }
     // A relay leaves the reading to other relays only.
     const bool is_relayed = !peer.digest.relayed_by.value.empty();
-    readers_before +=
-        name < self && !is_relayed && IsReader(peer, now) ? 1 : 0;
+    readers_before += name < self && !is_relayed && IsReader(peer, now) ? 1 : 0;
   }
   return readers_before < kStoreReaders;
 }
--- a/test/error/programs_name_what_is_wrong_test.cc
+++ b/test/error/programs_name_what_is_wrong_test.cc
@@ -34,27 +34,37 @@
   const std::string workload = WorkloadFile("sodarna-070.json");
   const std::vector<Case> cases = {
       {"policy_bench", {}, kUsage, "--deployment"},
-      {"policy_bench", {"--deployment", sodarna, "--workload", ""}, kUsage,
+      {"policy_bench",
+       {"--deployment", sodarna, "--workload", ""},
+       kUsage,
        "--workload"},
       {"policy_bench",
        {"--deployment", sodarna, "--workload", workload, "--policy", "best"},
-       kUsage, "'best'"},
+       kUsage,
+       "'best'"},
       {"policy_bench",
        {"--deployment", sodarna, "--workload", workload, "--seed", "one"},
-       kUsage, "--seed"},
-      {"policy_bench", {"--deployment", "none.json", "--workload", workload},
-       kBadFile, "none.json: can't be read"},
-      {"policy_bench", {"--deployment", workload, "--workload", workload},
-       kBadFile, "sodarna-070.json"},
+       kUsage,
+       "--seed"},
+      {"policy_bench",
+       {"--deployment", "none.json", "--workload", workload},
+       kBadFile,
+       "none.json: can't be read"},
+      {"policy_bench",
+       {"--deployment", workload, "--workload", workload},
+       kBadFile,
+       "sodarna-070.json"},
       {"policy_bench",
        {"--deployment", sodarna, "--workload",
         WorkloadFile("daugavas-070.json")},
-       kBadFile, "daugavas-070.json"},
+       kBadFile,
+       "daugavas-070.json"},
       {"pomeloring-gateway", {}, kUsage, "--settings"},
-      {"pomeloring-gateway", {"--settings", "none.json"}, kBadFile,
+      {"pomeloring-gateway",
+       {"--settings", "none.json"},
+       kBadFile,
        "none.json"},
-      {"pomeloring-gateway", {"--settings", sodarna}, kBadFile,
-       "sodarna.json"},
+      {"pomeloring-gateway", {"--settings", sodarna}, kBadFile, "sodarna.json"},
       {"pomeloring-node", {"--settings", "none.json"}, kBadFile, "none.json"},
   };
   for (const Case& wrong : cases) {
@@ -63,8 +73,7 @@
       command += " " + argument;
     }
     CAPTURE(command);
-    const test::ProgramEnd end =
-        test::RunToEnd(wrong.program, wrong.arguments);
+    const test::ProgramEnd end = test::RunToEnd(wrong.program, wrong.arguments);
     CHECK(end.exit_code == wrong.exit_code);
     CHECK(end.output.find(wrong.named) != std::string::npos);
   }
--- a/test/routing/large_fleet_shares_loads_test.cc
+++ b/test/routing/large_fleet_shares_loads_test.cc
@@ -39,12 +39,11 @@
   }
   const auto relays = ChooseRelays(live);
   for (const RelayCandidate& candidate : live) {
-    Instance instance{candidate, ReadyRouter(kEngines, kNow, candidate.name),
-                      {}};
-    const bool relays_too =
-        std::any_of(relays.begin(), relays.end(), [&](const auto& relay) {
-          return relay.name == candidate.name;
-        });
+    Instance instance{
+        candidate, ReadyRouter(kEngines, kNow, candidate.name), {}};
+    const bool relays_too = std::any_of(
+        relays.begin(), relays.end(),
+        [&](const auto& relay) { return relay.name == candidate.name; });
     instance.router->SetRelaying(relays_too);
     if (!relays_too) {
       instance.relay = *RelayFor(candidate, relays, {});
@@ -162,7 +161,8 @@
   Router& router = *fleet.rbegin()->second.router;
   RunRequest request = RequestOn(router, "draft", 5000);
   request.parts = {{77, 4000}};
-  const auto run = std::get<std::shared_ptr<Run>>(router.StartRun(request, kNow));
+  const auto run =
+      std::get<std::shared_ptr<Run>>(router.StartRun(request, kNow));
   TellRound(fleet, kNow);
   TellRound(fleet, kNow + milliseconds(40));
   for (const auto& [name, instance] : fleet) {
