--- a/tools/run_mutations.py
+++ b/tools/run_mutations.py
@@ -1,6 +1,8 @@
 #!/usr/bin/env python3
 """Plants one fault after the other in a copy of the sources and shows that the
-promise fuzzer, or else a test, catches each. Exits with 1 where one is missed."""
+promise fuzzer, or else a test, catches each. With --gateway the faults are
+those of the gateway, caught by its tests or else by the soak. Exits with 1
+where one is missed."""
 
 import argparse
 import pathlib
@@ -27,7 +29,7 @@
     ("uses a grant at a leaving upstream", "entry.cc",
      "upstream == nullptr || view.leaving.contains(granted.upstream)",
      "upstream == nullptr"),
-    ("never gives up", "entry.cc",
+    ("never gives up", "entry_asks.cc",
      "return now >= GiveUpAt(request);", "return false && now >= GiveUpAt(request);"),
     ("runs a key whose outcome is unknown again", "idempotency_key.cc",
      "return OutcomeUnknown{UnknownReason::kUpstreamLost};",
@@ -59,6 +61,51 @@
      "record->next = record->confirmed ? now + kReadInterval * 1000 : now;"),
 ]
 
+# The same for src/gateway, src/routing and platform.
+GATEWAY_MUTATIONS = [
+    ("repeats what may have run", "src/routing/routing_config.cc",
+     "return route.kind == RouteKind::kIdempotent ||", "return true ||"),
+    ("says not-run after a run", "src/gateway/exchange_answers.cc",
+     "} else if (m_may_have_run) {", "} else if (false) {"),
+    ("refuses as unplaced what has run", "src/gateway/exchange_answers.cc",
+     "if (m_may_have_run) {\n    reply = {502", "if (false) {\n    reply = {502"),
+    ("passes on a refusal's status after a run",
+     "src/gateway/exchange_answers.cc", "if (end == RunEnd::kWhole && !promises)",
+     "if (end == RunEnd::kWhole)"),
+    ("ends a cut stream as whole", "src/gateway/exchange_answers.cc",
+     "end == RunEnd::kWhole && !m_events->HasPartialEvent() && !m_stream_broken",
+     "true"),
+    ("resumes at the start", "src/gateway/exchange.cc",
+     "m_events && m_events->LastId() ? m_events->LastId()",
+     "false ? m_events->LastId()"),
+    ("passes a torn event on", "src/gateway/exchange_answers.cc",
+     "m_events->StartNextRun();", ""),
+    ("takes another request's reply", "src/gateway/upstream_run.cc",
+     "if (facts.request_id == m_request.id) {", "if (true) {"),
+    ("takes an unsigned success", "src/gateway/upstream_run.cc",
+     "m_reply.status < 300 && !facts.is_sealed", "false"),
+    ("keeps a connection with bytes left over", "src/gateway/upstream_run.cc",
+     "&& m_connection->buffer.size() == 0", ""),
+    ("passes the key on", "platform/request_codec.cc",
+     "kAccountKey, kTimeLeft,    kLastEvent,", "kTimeLeft,    kLastEvent,"),
+    ("runs on for a caller that left", "src/gateway/exchange.cc",
+     "self->m_client_gone = true;\n    self->StopRun();",
+     "self->m_client_gone = true;"),
+    ("cuts what runs at a planned stop", "src/gateway/gateway.cc",
+     "while (m_parts.exchanges > 0 &&", "while (false &&"),
+    ("counts a relayed instance twice", "src/routing/router_peers.cc",
+     "if (is_counted_elsewhere) {", "if (false) {"),
+    ("forgets the runs that ended between whole digests",
+     "src/routing/router_peers.cc", "    if (IsWorthTelling(use)) {\n      state->second->of_peers",
+     "    if (true) {\n      state->second->of_peers"),
+    ("keeps using a leaving upstream", "src/routing/router.cc",
+     "if (!state->record.draining) {", "if (true) {"),
+    ("takes a start for an outage", "src/routing/router.cc",
+     "} else if (m_store == StoreSight::kAnswers) {", "} else {"),
+    ("compares changes by offset", "src/routing/router_peers.cc",
+     "digest.upstreams_as_of >= m_table.as_of &&", "digest.upstreams_as_of > m_table.as_of &&"),
+]
+
 
 def prepare():
     for stale in ("source", "objects"):
@@ -123,30 +170,84 @@
     return caught
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--runs", type=int, default=300)
-    parser.add_argument("--jobs", type=int, default=4)
-    options = parser.parse_args()
-    WORK.mkdir(exist_ok=True)
+def run_core(options):
     prepare()
     compile_fuzzer(options.jobs)
     if fuzz(options.runs):
         sys.exit("the unchanged sources break a promise; see promise_fuzz")
+
+    def catch():
+        compile_fuzzer(options.jobs)
+        return fuzz(options.runs) or run_tests(options.jobs)
+
+    mutations = [(name, "src/core/" + file, old, new)
+                 for name, file, old, new in MUTATIONS]
+    return plant_all(mutations, WORK / "source", catch)
+
+
+def run_gateway(options):
+    source = WORK / "whole"
+    shutil.rmtree(source, ignore_errors=True)
+    shutil.copytree(ROOT, source,
+                    ignore=shutil.ignore_patterns("build*", "target", ".git",
+                                                  "journal"))
+    build = source / "build"
+    subprocess.run(["cmake", "-S", source, "-B", build, "-G", "Ninja"],
+                   check=True, stdout=subprocess.DEVNULL)
+
+    def catch():
+        subprocess.run(["ninja", "-C", build, "-j", str(options.jobs),
+                        "--quiet", "routing_test", "gateway_test", "soak"],
+                       check=True, stdout=subprocess.DEVNULL)
+        return (failed_case(build, "routing_test")
+                or failed_case(build, "gateway_test") or soak(build))
+
+    if catch():
+        sys.exit("the unchanged sources fail a test")
+    return plant_all(GATEWAY_MUTATIONS, source, catch)
+
+
+def failed_case(build, program):
+    output = subprocess.run([build / "bin" / program, "--minimal"],
+                            capture_output=True, text=True, check=False).stdout
+    return ["test case '%s'" % line[10:].strip() for line in output.splitlines()
+            if line.startswith("TEST CASE:")][:1]
+
+
+def soak(build):
+    output = subprocess.run([build / "bin/soak", "--seed", "1", "--seeds", "3"],
+                            capture_output=True, text=True, check=False).stdout
+    return ["soak: " + line.strip() for line in output.splitlines()
+            if line.startswith("  ")][:1]
+
+
+def plant_all(mutations, source, catch):
+    """Plants each fault alone; returns how many of how many were missed."""
     missed = 0
-    for name, file, old, new in MUTATIONS:
-        path = WORK / "source/src/core" / file
+    for name, file, old, new in mutations:
+        path = source / file
         original = path.read_text()
         if old not in original:
             sys.exit("mutation '%s' does not fit %s any more" % (name, file))
         path.write_text(original.replace(old, new, 1))
-        compile_fuzzer(options.jobs)
-        caught = fuzz(options.runs) or run_tests(options.jobs)
+        caught = catch()
         path.write_text(original)
         missed += 0 if caught else 1
         print("%-45s %s" % (name, caught[0][:110] if caught else "MISSED"),
               flush=True)
-    print("%d passed, %d failed" % (len(MUTATIONS) - missed, missed))
+    return missed, len(mutations)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--runs", type=int, default=300)
+    parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--gateway", action="store_true")
+    options = parser.parse_args()
+    WORK.mkdir(exist_ok=True)
+    missed, planted = run_gateway(options) if options.gateway else run_core(
+        options)
+    print("%d passed, %d failed" % (planted - missed, missed))
     sys.exit(1 if missed else 0)
 
 
