Give peers the text of the change that is known, never of an older one

Cause: an instance kept the texts of registrations beside its table. A change that came from a peer and was older than what is known was left out of the table, but its text replaced the newer one. Peers were then given the new offset with the old text, took a leaving upstream for ready, and passed that on; it held until the entry was removed. Ruled out: fetches that time out (no peer-fetch-failed), readers that hang (no store-lost), the lapse grace, lost digests. Change: the text stands in the table entry, and a change as old as the known one changes nothing. The test fails on the code before.

--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -193,11 +193,12 @@
                               std::string_view source) {
   std::vector<UpstreamChange> changes;
   for (const StoredUpstream& entry : entries) {
-    UpstreamChange change{entry.id, entry.offset, std::nullopt};
+    UpstreamChange change{entry.id, entry.offset, std::nullopt, {}};
     if (entry.value) {
       auto read = m_parts.codec.read_upstream(entry.id.value, *entry.value);
       if (auto* record = std::get_if<UpstreamRecord>(&read)) {
         change.record = std::move(*record);
+        change.text = *entry.value;
       } else if (m_unreadable.insert(entry.id.value).second) {
         // It names no upstream to use; the others hold.
         const auto& malformed = std::get<MalformedField>(read);
@@ -206,9 +207,6 @@
                            {"field", malformed.name},
                            {"expected", malformed.expected}});
       }
-      m_upstream_texts[entry.id] = *entry.value;
-    } else {
-      m_upstream_texts.erase(entry.id);
     }
     changes.push_back(std::move(change));
   }
@@ -250,9 +248,8 @@
       continue;
     }
     StoredUpstream stored{name, entry.offset, std::nullopt};
-    if (const auto text = m_upstream_texts.find(name);
-        entry.record && text != m_upstream_texts.end()) {
-      stored.value = text->second;
+    if (entry.record) {
+      stored.value = entry.text;
     }
     state.upstreams.push_back(std::move(stored));
   }
--- a/src/gateway/store_feed.h
+++ b/src/gateway/store_feed.h
@@ -67,7 +67,6 @@
 
   StoreFeedParts m_parts;
   std::string m_config_text;
-  std::map<UpstreamName, std::string> m_upstream_texts;
   std::set<std::string> m_unreadable;  // Logged already.
   std::map<StoreTopic, LogOffset> m_next;
   std::map<StoreTopic, bool> m_needs_list;
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -32,13 +32,13 @@
   for (const UpstreamChange& change : changes) {
     auto [entry, is_new] = table.entries.try_emplace(change.id);
     UpstreamEntry& known = entry->second;
-    if (!is_new && change.offset < known.offset) {
+    if (!is_new && change.offset <= known.offset) {
       continue;
     }
     if (!is_new && known.record == change.record) {
       continue;  // A heartbeat.
     }
-    known = {change.offset, change.record, now};
+    known = {change.offset, change.record, change.text, now};
     changed.push_back(change.id);
   }
   table.as_of = std::max(table.as_of, as_of);
@@ -60,7 +60,7 @@
     // An entry that was written after the list was made stays.
     if (entry.record && !names.contains(name) && entry.offset < as_of) {
       // All before `as_of` is known; what stands there comes after the list.
-      entry = {LogOffset{as_of.value - 1}, std::nullopt, now};
+      entry = {LogOffset{as_of.value - 1}, std::nullopt, {}, now};
       dropped.push_back(name);
     }
   }
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -33,11 +33,15 @@
   UpstreamName id;
   LogOffset offset;
   std::optional<UpstreamRecord> record;
+  std::string text;  // Of the record, as it stands in the store.
 };
 
 struct UpstreamEntry {
   LogOffset offset;  // Of the last change that matters to routing.
   std::optional<UpstreamRecord> record;
+  // What peers are given. It stands here so that it is never of another change
+  // than the record.
+  std::string text;
   Time changed;
 };
 
--- /dev/null
+++ b/test/gateway/peers_are_given_what_is_known_test.cc
@@ -0,0 +1,82 @@
+// What an instance gives a peer is what it knows itself. An older state that it
+// hears of meanwhile must not get into it: the peer would take an upstream that
+// is leaving for one that is ready.
+
+#include <doctest/doctest.h>
+
+#include <boost/json.hpp>
+
+#include "gateway/store_feed.h"
+#include "platform/codecs.h"
+
+namespace pomeloring::test {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+class NoStore final : public Store {
+ public:
+  asio::awaitable<StoreListResult> List(StoreTopic) override {
+    co_return StoreSilent{};
+  }
+  asio::awaitable<StorePageResult> Read(StoreTopic,
+                                        LogOffset,
+                                        std::chrono::milliseconds) override {
+    co_return StoreSilent{};
+  }
+};
+
+// A feed with all that it needs.
+struct Instance {
+  explicit Instance(const std::string& name)
+      : router({.name = {name}}), log(name, LogLevel::kError) {}
+
+  asio::io_context context;
+  Router router;
+  NoStore store;
+  StoreCodec codec = platform::MakeStoreCodec();
+  Log log;
+  GatewayMetrics metrics;
+  StoreFeed feed{{context, router, store, codec, log, metrics, [] {}}};
+};
+
+PeerStore WithUpstream(const std::string& state,
+                       uint64_t offset,
+                       uint64_t as_of) {
+  PeerStore store;
+  store.upstreams_as_of.value = as_of;
+  store.is_whole_list = true;
+  store.upstreams.push_back(
+      {{"u1"},
+       {offset},
+       json::serialize(json::object{{"service", "engines"},
+                                    {"address", "127.0.0.1:1"},
+                                    {"zone", "here"},
+                                    {"slots", 8},
+                                    {"state", state}})});
+  return store;
+}
+
+bool IsDraining(const Instance& instance) {
+  return instance.router.Upstreams().entries.at({"u1"}).record->draining;
+}
+
+TEST_CASE("A peer's older state does not get into what others are given") {
+  Instance listed("a");
+  listed.feed.TakeFromPeer({"store"}, WithUpstream("draining", 21, 22));
+  listed.feed.TakeFromPeer({"late"}, WithUpstream("ready", 12, 21));
+  CHECK(IsDraining(listed));
+
+  Instance other("b");
+  other.feed.TakeFromPeer({"store"}, WithUpstream("draining", 21, 22));
+  other.feed.TakeFromPeer({"a"}, listed.feed.StateSince(0, {}));
+  CHECK(IsDraining(other));
+
+  Instance fresh("c");
+  fresh.feed.TakeFromPeer({"a"}, listed.feed.StateSince(0, {}));
+  CHECK(IsDraining(fresh));
+}
+
+}  // namespace
+}  // namespace pomeloring::test
