Relays tell each other only what changed; failed reads of the store back off

Change: group digests tell what changed between whole ones; pauses after failed reads double up to a second.

--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -25,7 +25,10 @@
 // as it does looks for itself, so that no fault in what it hears of peers can
 // keep a leaving upstream in use for the two seconds allowed.
 constexpr Duration kOwnReadInterval = milliseconds(1200);
+// After a failed call; doubled with each further one. Calls that fail are
+// counted as well, and in an outage all instances try.
 constexpr milliseconds kFailurePause{250};
+constexpr milliseconds kMaxFailurePause{1000};
 // A reader without an answer for this long no longer counts as one.
 constexpr Duration kAnswerLifetime = milliseconds(2200);
 
@@ -80,6 +83,7 @@
 }
 
 asio::awaitable<void> StoreFeed::Follow(StoreTopic topic) {
+  milliseconds pause = kFailurePause;
   while (true) {
     const Time begun = Now();
     const bool is_reader = ShouldRead(begun);
@@ -96,9 +100,11 @@
                                ? co_await ListTopic(topic)
                                : co_await ReadTopic(topic, is_reader);
     if (!succeeded) {
-      co_await Sleep(m_parts.context, kFailurePause);
+      co_await Sleep(m_parts.context, pause);
+      pause = std::min(2 * pause, kMaxFailurePause);
       continue;
     }
+    pause = kFailurePause;
     const auto spent = std::chrono::duration_cast<milliseconds>(Now() - begun);
     if (topic == StoreTopic::kUpstreams && spent < kUpstreamReadInterval) {
       co_await Sleep(m_parts.context, kUpstreamReadInterval - spent);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -171,6 +171,9 @@
   // Where the own use has changed since it was told last.
   std::set<UpstreamName> m_uses_to_tell;
   Time m_told_all;
+  // The same for a relay's group.
+  std::set<UpstreamName> m_group_uses_to_tell;
+  Time m_told_group;
   InstanceName m_told_to;
   uint64_t m_digest_sequence = 0;
   bool m_has_news = false;
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -60,6 +60,7 @@
 
 void Router::NoteUse(const Run& run) {
   m_uses_to_tell.insert(run.upstream->record.id);
+  m_group_uses_to_tell.insert(run.upstream->record.id);
   m_has_news = true;
 }
 
@@ -83,6 +84,7 @@
                                     const InstanceName& relayed_by) {
   PeerDigest digest = DigestHead(leaving, reads_store);
   digest.relayed_by = relayed_by;
+  m_told_group = {};  // Nor the group's.
   digest.has_changed_uses_only =
       relayed_by == m_told_to && now - m_told_all < kTellAllInterval;
   m_told_to = relayed_by;
@@ -109,6 +111,8 @@
   PeerDigest digest = DigestHead(leaving, reads_store);
   digest.scope = DigestScope::kGroup;
   m_told_all = {};  // Nobody has been told the own uses alone.
+  digest.has_changed_uses_only = now - m_told_group < kTellAllInterval;
+  m_told_group = digest.has_changed_uses_only ? m_told_group : now;
   std::set<InstanceName> group;
   for (const auto& [name, peer] : m_peers) {
     if (IsRelayedHere(peer, now)) {
@@ -126,10 +130,12 @@
         AddUse(use, of_peer);
       }
     }
-    if (IsWorthTelling(use)) {
+    if (digest.has_changed_uses_only ? m_group_uses_to_tell.contains(name)
+                                     : IsWorthTelling(use)) {
       digest.uses.emplace_back(name, use);
     }
   }
+  m_group_uses_to_tell.clear();
   digest.cached_parts = TakeFront(m_parts_to_tell);
   m_has_news = !m_parts_to_tell.empty();
   return digest;
@@ -229,6 +235,9 @@
       continue;
     }
     FadeReadLoads(*state->second, now);
+    if (m_relays && digest.relayed_by == m_settings.name) {
+      m_group_uses_to_tell.insert(name);
+    }
     if (IsWorthTelling(use)) {
       state->second->of_peers[digest.sender] = use;
       peer.used.insert(name);
@@ -263,6 +272,7 @@
     return;
   }
   for (const UpstreamName& name : found->second.used) {
+    m_group_uses_to_tell.insert(name);
     if (const auto state = m_states.find(name); state != m_states.end()) {
       state->second->of_peers.erase(peer);
     }
--- a/test/routing/large_fleet_shares_loads_test.cc
+++ b/test/routing/large_fleet_shares_loads_test.cc
@@ -91,12 +91,15 @@
   return running;
 }
 
-void StartOneEach(Fleet& fleet) {
+std::map<InstanceName, std::shared_ptr<Run>> StartOneEach(Fleet& fleet) {
+  std::map<InstanceName, std::shared_ptr<Run>> runs;
   for (auto& [name, instance] : fleet) {
     const auto run = instance.router->StartRun(
         RequestOn(*instance.router, "question", 500), kNow);
     REQUIRE(std::holds_alternative<std::shared_ptr<Run>>(run));
+    runs[name] = std::get<std::shared_ptr<Run>>(run);
   }
+  return runs;
 }
 
 TEST_CASE("Every instance of 88 counts the runs of all others once") {
@@ -114,6 +117,25 @@
   }
 }
 
+TEST_CASE("Runs that end between whole digests are taken off everywhere") {
+  Fleet fleet = MakeFleet(40);
+  auto runs = StartOneEach(fleet);
+  TellRound(fleet, kNow);
+  TellRound(fleet, kNow + milliseconds(40));
+  int ended = 0;
+  for (auto& [name, run] : runs) {
+    if (++ended % 2 == 0) {
+      fleet[name].router->EndRun(*run, RunOutcome::kServed, kNow);
+    }
+  }
+  TellRound(fleet, kNow + milliseconds(80));
+  TellRound(fleet, kNow + milliseconds(120));
+  for (const auto& [name, instance] : fleet) {
+    CAPTURE(name.value);
+    CHECK(RunsSeen(*instance.router) == 20);
+  }
+}
+
 TEST_CASE("What a round costs an instance does not grow with the fleet") {
   for (const int size : {88, 320}) {
     Fleet fleet = MakeFleet(size);
