Take changed settings without a restart, with or without a signal

A reload took the seeds only, and only on SIGHUP. Now it takes all that may change while a gateway runs, names what was taken and what needs a restart, and the file is looked at once a second.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -9,7 +9,9 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <filesystem>
 #include <future>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -35,6 +37,7 @@
 // Idle connections, ejections and lapsed registrations.
 constexpr milliseconds kHousekeepingInterval{200};
 constexpr milliseconds kDrainPoll{20};
+constexpr Duration kFileCheckInterval = seconds(1);
 // Some callers keep an address answer three times as long as it says.
 constexpr int kAnswersKeptFactor = 3;
 constexpr milliseconds kDrainMargin{500};
@@ -257,6 +260,10 @@
       m_router.HandleStoreState(store_answers, now);
       m_router.Tick(now);
       m_pool.CloseIdle();
+      if (now - m_file_checked >= kFileCheckInterval) {
+        m_file_checked = now;
+        ReloadIfChanged();
+      }
       co_await SleepFor(kHousekeepingInterval);
     }
   }
@@ -281,21 +288,37 @@
     }
   }
 
-  // Seeds are taken over; all other settings hold from the next start on.
   void Reload() {
+    m_settings_read = FileTime();
     auto read = ReadGatewaySettings(m_path);
     if (const auto* error = std::get_if<SettingsError>(&read)) {
       m_log.Write(LogLevel::kError, "reload-failed",
                   {{"path", m_path}, {"error", Describe(*error)}});
       return;
     }
-    auto& settings = std::get<GatewaySettings>(read);
+    const auto changed =
+        TakeReloaded(m_settings, std::get<GatewaySettings>(read));
     m_log.Write(LogLevel::kInfo, "reloaded",
-                {{"seeds", std::to_string(settings.seeds.size())},
-                 {"changed",
-                  settings.seeds == m_settings.seeds ? "nothing" : "seeds"}});
-    m_settings.seeds = settings.seeds;
-    m_peers.SetSeeds(std::move(settings.seeds));
+                {{"taken", fmt::format("{}", fmt::join(changed.taken, " "))},
+                 {"need_restart",
+                  fmt::format("{}", fmt::join(changed.need_restart, " "))}});
+    m_peers.SetSeeds(m_settings.seeds);
+    m_router.SetRetries(m_settings.retries);
+  }
+
+  // The file may change without a signal.
+  void ReloadIfChanged() {
+    const auto written = FileTime();
+    if (written && written != m_settings_read) {
+      Reload();
+    }
+  }
+
+  // When the settings file was written, or nothing while it can't be read.
+  std::optional<std::filesystem::file_time_type> FileTime() const {
+    std::error_code error;
+    const auto written = std::filesystem::last_write_time(m_path, error);
+    return error ? std::nullopt : std::optional(written);
   }
 
   // First no caller is sent here any more; what still comes is served until the
@@ -324,7 +347,9 @@
   }
 
   GatewaySettings m_settings;
-  const std::string m_path;
+  const std::string m_path;  // Empty in tests: no file.
+  std::optional<std::filesystem::file_time_type> m_settings_read = FileTime();
+  Time m_file_checked;
   const WireCodec m_codec;
   const StoreCodec m_store_codec;
   const std::unique_ptr<Store> m_store;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -115,6 +115,43 @@
   return ParseGatewaySettings(std::get<std::string>(text));
 }
 
+ReloadedSettings TakeReloaded(GatewaySettings& in_force,
+                              const GatewaySettings& read) {
+  ReloadedSettings result;
+  const auto take = [&](const char* name, auto& known, const auto& wanted) {
+    if (known != wanted) {
+      known = wanted;
+      result.taken.emplace_back(name);
+    }
+  };
+  const auto keep = [&](const char* name, const auto& known,
+                        const auto& wanted) {
+    if (known != wanted) {
+      result.need_restart.emplace_back(name);
+    }
+  };
+  take("seeds", in_force.seeds, read.seeds);
+  take("retry_share", in_force.retries.share_of_requests,
+       read.retries.share_of_requests);
+  take("retry_fixed", in_force.retries.fixed_repeats,
+       read.retries.fixed_repeats);
+  take("retry_window_s", in_force.retries.window, read.retries.window);
+  take("keep_addresses_s", in_force.keep_addresses, read.keep_addresses);
+  take("longest_drain_s", in_force.longest_drain, read.longest_drain);
+  keep("name", in_force.name, read.name);
+  keep("failure_domain", in_force.failure_domain, read.failure_domain);
+  keep("region", in_force.region, read.region);
+  keep("caller_address", in_force.caller_address, read.caller_address);
+  keep("directory_address", in_force.directory_address, read.directory_address);
+  keep("ready_address", in_force.ready_address, read.ready_address);
+  keep("peer_address", in_force.peer_address, read.peer_address);
+  keep("metrics_address", in_force.metrics_address, read.metrics_address);
+  keep("platform_address", in_force.platform_address, read.platform_address);
+  keep("link_mbps", in_force.link_mbps, read.link_mbps);
+  keep("log_level", in_force.log_level, read.log_level);
+  return result;
+}
+
 std::span<const SettingDoc> GatewaySettingDocs() {
   return kDocs;
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -38,6 +38,16 @@
     std::string_view text);
 std::span<const SettingDoc> GatewaySettingDocs();
 
+// Names of settings that differ, by what came of them.
+struct ReloadedSettings {
+  std::vector<std::string> taken;
+  std::vector<std::string> need_restart;
+};
+
+// Takes over from `read` what may change while a gateway runs.
+ReloadedSettings TakeReloaded(GatewaySettings& in_force,
+                              const GatewaySettings& read);
+
 }  // namespace pomeloring
 
 #endif  // POMELORING_GATEWAY_GATEWAY_SETTINGS_H_
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -97,6 +97,7 @@
   // The store did not answer, or answers again.
   void HandleStoreState(bool answers, Time now);
   bool IsReady() const;
+  void SetRetries(const RetryPolicy& retries) { m_settings.retries = retries; }
 
   // Requests.
   void CountRequest(const ServiceName& service, Time now);
@@ -150,7 +151,7 @@
   void TakeUses(PeerState& peer, const PeerDigest& digest, Time now);
   void TakeParts(const PeerDigest& digest, Time now);
 
-  const RouterSettings m_settings;
+  RouterSettings m_settings;
   std::shared_ptr<const RoutingConfig> m_config;
   UpstreamTable m_table;
   std::unordered_map<UpstreamName, std::shared_ptr<UpstreamState>> m_states;
