--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -120,8 +120,10 @@
 void PeerExchange::SendDigest(const InstanceName& receiver,
                               const PeerDigest& digest) {
   if (const Member* member = FindMember(receiver)) {
-    SendTo(member->probe_address,
-           std::string(1, kDigestTag) + EncodeDigest(digest));
+    for (const PeerDigest& piece : SplitDigest(digest)) {
+      SendTo(member->probe_address,
+             std::string(1, kDigestTag) + EncodeDigest(piece));
+    }
   }
 }
 
@@ -166,11 +168,13 @@
   }
   const PeerDigest digest = m_parts.router.TakeDigestToSend(
       m_leaving, m_parts.feed.ReadsStore(now), now);
-  const std::string bytes = std::string(1, kDigestTag) + EncodeDigest(digest);
-  for (const auto& [name, known] : m_members.members) {
-    if (known.member.status == MemberStatus::kAlive ||
-        known.member.status == MemberStatus::kSuspect) {
-      SendTo(known.member.probe_address, bytes);
+  for (const PeerDigest& piece : SplitDigest(digest)) {
+    const std::string bytes = std::string(1, kDigestTag) + EncodeDigest(piece);
+    for (const auto& [name, known] : m_members.members) {
+      if (known.member.status == MemberStatus::kAlive ||
+          known.member.status == MemberStatus::kSuspect) {
+        SendTo(known.member.probe_address, bytes);
+      }
     }
   }
 }
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -45,6 +45,12 @@
   std::vector<uint32_t> serving;  // Others that serve, by ShortHash().
 };
 
+// Splits a digest with many uses into several that fit a datagram each: the
+// first as it is, the others with the uses that are left.
+std::vector<PeerDigest> SplitDigest(PeerDigest digest);
+// Sequences that one digest takes up.
+inline constexpr uint64_t kSequenceStep = 256;
+
 }  // namespace pomeloring
 
 #endif  // POMELORING_ROUTING_PEER_DIGEST_H_
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -40,10 +40,6 @@
 
 }  // namespace
 
-uint32_t ShortHash(const InstanceName& name) {
-  return static_cast<uint32_t>(StableHash(name.value));
-}
-
 // --- Told --------------------------------------------------------------------
 
 void Router::TellPart(const UpstreamState& upstream, uint64_t part, Time now) {
@@ -68,7 +64,7 @@
   PeerDigest digest;
   digest.sender = m_settings.name;
   digest.incarnation = m_settings.incarnation;
-  digest.sequence = ++m_digest_sequence;
+  digest.sequence = m_digest_sequence += kSequenceStep;
   digest.ready = IsReady() && !leaving;
   digest.leaving = leaving;
   digest.config_version = m_config ? m_config->version : 0;
--- a/test/routing/digests_tell_what_changed_test.cc
+++ b/test/routing/digests_tell_what_changed_test.cc
@@ -75,6 +75,30 @@
   CHECK(RunsAt(*hearer, run->upstream->record.id) == 0);
 }
 
+TEST_CASE("A digest of thousands of upstreams goes in several datagrams") {
+  constexpr int kUpstreams = 2000;
+  const auto teller = ReadyRouter(kUpstreams, kNow, {"b"});
+  const auto hearer = ReadyRouter(kUpstreams, kNow, {"a"});
+  for (int i = 0; i < kUpstreams; ++i) {
+    Start(*teller, kNow);
+  }
+  const auto pieces = SplitDigest(teller->TakeDigestToSend(false, false, kNow));
+  CHECK(pieces.size() > 1);
+  for (const PeerDigest& piece : pieces) {
+    const std::string bytes = EncodeDigest(piece);
+    CHECK(bytes.size() < 60000);
+    CHECK(hearer->HandleDigest(*DecodeDigest(bytes), kNow));
+  }
+  uint32_t heard = 0;
+  for (const UpstreamState* upstream : hearer->AllUpstreams()) {
+    heard += TotalUse(*upstream).running;
+  }
+  CHECK(heard == kUpstreams);
+  // The next one is newer than all pieces.
+  CHECK(
+      hearer->HandleDigest(teller->TakeDigestToSend(false, false, kNow), kNow));
+}
+
 TEST_CASE("Another relay is told everything at first") {
   const auto teller = ReadyRouter(1, kNow, {"b"});
   const auto run = Start(*teller, kNow);
