--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -72,6 +72,7 @@
   router.incarnation = self.incarnation;
   router.failure_domain = self.failure_domain;
   router.retries = settings.retries;
+  router.placement = settings.placement;
   router.random_seed = RandomBits();
   return router;
 }
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -34,6 +34,9 @@
     {"retry_fixed", "0 to 1000000", "50",
      "repeats a window beyond that share, over all instances"},
     {"retry_window_s", "1 to 3600 s", "10", "the window of both"},
+    {"placement", "lowest_cost, round_robin, least_runs or two_choices",
+     "lowest_cost",
+     "how an upstream is chosen; all but the first are baselines"},
     {"keep_addresses_s", "1 to 3600 s", "1",
      "how long callers may keep the address answer"},
     {"longest_drain_s", "1 to 3600 s", "8",
@@ -94,6 +97,13 @@
   retries.fixed_repeats = ReadNumber(reader, "retry_fixed",
                                      retries.fixed_repeats, kMaxFixedRepeats);
   retries.window = seconds{reader.Int("retry_window_s", 10, 1, 3600)};
+  const std::string placement = reader.String("placement", false);
+  if (const auto policy = ParsePlacementPolicy(placement)) {
+    settings.placement = *policy;
+  } else if (!placement.empty()) {
+    reader.Fail(OutOfRange{
+        "placement", "lowest_cost, round_robin, least_runs or two_choices"});
+  }
   settings.keep_addresses = seconds{reader.Int("keep_addresses_s", 1, 1, 3600)};
   settings.longest_drain = seconds{reader.Int("longest_drain_s", 8, 1, 3600)};
   settings.log_level = ReadLogLevel(reader, settings.log_level);
@@ -148,6 +158,7 @@
   keep("metrics_address", in_force.metrics_address, read.metrics_address);
   keep("platform_address", in_force.platform_address, read.platform_address);
   keep("link_mbps", in_force.link_mbps, read.link_mbps);
+  keep("placement", in_force.placement, read.placement);
   keep("log_level", in_force.log_level, read.log_level);
   return result;
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "daemon/settings.h"
+#include "routing/baseline_policies.h"
 #include "routing/retry_allowance.h"
 
 namespace pomeloring {
@@ -27,6 +28,7 @@
   double link_mbps = 1000;
   std::vector<std::string> seeds;  // Other instances; see WithPeerPort().
   RetryPolicy retries;
+  PlacementPolicy placement = PlacementPolicy::kLowestCost;
   std::chrono::seconds keep_addresses{1};
   std::chrono::seconds longest_drain{8};
   std::string log_level = "info";
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -63,10 +63,6 @@
 constexpr double kReadShareCostMs = 150;
 constexpr Duration kMinRetryAfter = milliseconds(100);
 
-size_t RankOf(const Route& route) {
-  return std::min<size_t>(route.priority, kUrgencyRanks - 1);
-}
-
 struct Estimate {
   double start_ms = 0;
   double read_share = 0;  // Of the engine's time, before this request.
@@ -102,7 +98,7 @@
   Estimate estimate;
   estimate.unread = request.prompt_tokens - cached;
   const auto before =
-      static_cast<double>(UnreadUpTo(use, RankOf(*request.route)));
+      static_cast<double>(UnreadUpTo(use, UrgencyRankOf(*request.route)));
   estimate.start_ms = (before + estimate.unread) / rate;
   if (use.running >= engine.batch_slots) {
     estimate.start_ms += kQueuedRunMs * (use.running - engine.batch_slots + 1);
@@ -140,17 +136,6 @@
   return share <= max ? 0 : ToMillis(kReadLoadTime) * std::log(share / max);
 }
 
-bool IsUsable(const UpstreamState& upstream,
-              const PlacementRequest& request,
-              Time now) {
-  const bool is_excluded =
-      std::find(request.excluded.begin(), request.excluded.end(),
-                upstream.record.id) != request.excluded.end();
-  const bool on_trial =
-      upstream.health.is_trial && TotalUse(upstream).running > 0;
-  return !is_excluded && !on_trial && now >= upstream.health.ejected_until;
-}
-
 uint32_t MostCached(const PlacementRequest& request,
                     std::span<UpstreamState* const> candidates) {
   uint32_t most = 0;
@@ -176,6 +161,21 @@
 
 }  // namespace
 
+size_t UrgencyRankOf(const Route& route) {
+  return std::min<size_t>(route.priority, kUrgencyRanks - 1);
+}
+
+bool IsUsable(const UpstreamState& upstream,
+              const PlacementRequest& request,
+              Time now) {
+  const bool is_excluded =
+      std::find(request.excluded.begin(), request.excluded.end(),
+                upstream.record.id) != request.excluded.end();
+  const bool on_trial =
+      upstream.health.is_trial && TotalUse(upstream).running > 0;
+  return !is_excluded && !on_trial && now >= upstream.health.ejected_until;
+}
+
 PlacementResult ChooseUpstream(const PlacementRequest& request,
                                std::span<UpstreamState* const> candidates,
                                const EngineSpeed& speed,
@@ -238,7 +238,7 @@
   if (best->harm_ms > kMinHarmToDeferMs && may_wait) {
     return Deferred{};
   }
-  return Placement{chosen, best->unread, RankOf(*request.route),
+  return Placement{chosen, best->unread, UrgencyRankOf(*request.route),
                    best->pause_sensitive, FromMillis(best->start_ms)};
 }
 
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -61,6 +61,15 @@
 
 using PlacementResult = std::variant<Placement, Deferred, Unplaced>;
 
+// Of the engines' ranks, the one that a route's requests have.
+size_t UrgencyRankOf(const Route& route);
+
+// Whether the upstream may be given the request: it is not ejected, and was not
+// tried already.
+bool IsUsable(const UpstreamState& upstream,
+              const PlacementRequest& request,
+              Time now);
+
 // Chooses among `candidates`, which are of one service and take new work.
 // `random` breaks ties.
 PlacementResult ChooseUpstream(const PlacementRequest& request,
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -168,8 +168,12 @@
                                 request.time_left,
                                 WasHigherRefused(request, now),
                                 request.excluded};
-  auto result = ChooseUpstream(wanted, candidates, m_speeds[request.service],
-                               now, NextRandom(m_random));
+  const uint64_t random = NextRandom(m_random);
+  auto result = m_settings.placement == PlacementPolicy::kLowestCost
+                    ? ChooseUpstream(wanted, candidates,
+                                     m_speeds[request.service], now, random)
+                    : ChooseByBaseline(m_settings.placement, wanted, candidates,
+                                       now, m_turn++, random);
   if (auto* unplaced = std::get_if<Unplaced>(&result)) {
     if (unplaced->reason == PlacementRefusal::kOverloaded) {
       m_refused[request.service][request.route->priority] = now;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -14,6 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "routing/baseline_policies.h"
 #include "routing/peer_digest.h"
 #include "routing/placement.h"
 #include "routing/retry_allowance.h"
@@ -31,6 +32,7 @@
   Incarnation incarnation;
   FailureDomain failure_domain;
   RetryPolicy retries;
+  PlacementPolicy placement = PlacementPolicy::kLowestCost;
   // A digest older than this says nothing of what its sender runs.
   Duration digest_lifetime = milliseconds(1500);
   // Entries that lapsed while the store was out are written again within this
@@ -164,6 +166,7 @@
   // By service and priority: the last refusal for want of capacity.
   std::map<ServiceName, std::map<uint32_t, Time>> m_refused;
   std::map<ServiceName, EngineSpeed> m_speeds;
+  uint64_t m_turn = 0;  // Of kRoundRobin.
   std::map<InstanceName, PeerState> m_peers;
   // Parts that were read of late: for all peers or the other relays, and for
   // the instances that this one relays for.
--- a/test/gateway/answers_are_the_upstreams_test.cc
+++ b/test/gateway/answers_are_the_upstreams_test.cc
@@ -131,5 +131,12 @@
   CHECK(without.Ask("/stamp/1").starts_with("HTTP/1.1 503"));
 }
 
+TEST_CASE("What has run at the only upstream is not called refused") {
+  ScriptedServer upstream({{""}});  // Reads the request and breaks off.
+  const GatewaySite site({{"p1", "plain", upstream.Address()}});
+  CHECK(site.Ask("/check/1").starts_with("HTTP/1.1 502"));
+  CHECK(upstream.Requests().size() == 1);
+}
+
 }  // namespace
 }  // namespace pomeloring::test
