--- a/test/support/gateway_site.cc
+++ b/test/support/gateway_site.cc
@@ -4,14 +4,11 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 
 #include "link/address.h"
+#include "link/sleep.h"
 #include "platform/codecs.h"
 #include "support/scripted_server.h"
 
@@ -61,7 +58,9 @@
 
 class FixedStore final : public Store {
  public:
-  explicit FixedStore(const std::vector<SiteUpstream>& upstreams) {
+  FixedStore(const std::vector<SiteUpstream>& upstreams,
+             std::chrono::milliseconds delay)
+      : m_delay(delay) {
     for (const SiteUpstream& upstream : upstreams) {
       m_upstreams.entries.push_back(
           {upstream.id,
@@ -78,21 +77,20 @@
   }
 
   asio::awaitable<StoreListResult> List(StoreTopic topic) override {
+    co_await SleepFor(m_delay);
     co_return topic == StoreTopic::kConfiguration ? m_config : m_upstreams;
   }
 
   asio::awaitable<StorePageResult>
   Read(StoreTopic, LogOffset from, std::chrono::milliseconds wait) override {
-    error_code ignored;
-    asio::steady_timer timer(co_await asio::this_coro::executor, wait);
-    co_await timer.async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
+    co_await SleepFor(wait);
     StorePage page;
     page.end = from;
     co_return page;
   }
 
  private:
+  const std::chrono::milliseconds m_delay;
   StoreList m_config;
   StoreList m_upstreams;
 };
@@ -114,16 +112,18 @@
 }  // namespace
 
 // Another process may take a port between its choice and its use.
-GatewaySite::GatewaySite(const std::vector<SiteUpstream>& upstreams) {
+GatewaySite::GatewaySite(const std::vector<SiteUpstream>& upstreams,
+                         std::chrono::milliseconds store_delay) {
   for (int tries = 0; tries < 10 && !m_gateway; ++tries) {
     m_address = ClosedAddress();
-    auto built = GatewayBuilder()
-                     .WithSettings(SettingsFor(m_address), "")
-                     .WithWireCodec(platform::MakeWireCodec())
-                     .WithStoreCodec(platform::MakeStoreCodec())
-                     .WithStore(std::make_unique<FixedStore>(upstreams))
-                     .WithHandlers(platform::MakeHandlers())
-                     .Build();
+    auto built =
+        GatewayBuilder()
+            .WithSettings(SettingsFor(m_address), "")
+            .WithWireCodec(platform::MakeWireCodec())
+            .WithStoreCodec(platform::MakeStoreCodec())
+            .WithStore(std::make_unique<FixedStore>(upstreams, store_delay))
+            .WithHandlers(platform::MakeHandlers())
+            .Build();
     if (auto* gateway = std::get_if<std::unique_ptr<Gateway>>(&built)) {
       m_gateway = std::move(*gateway);
     }
--- a/test/support/gateway_site.h
+++ b/test/support/gateway_site.h
@@ -24,7 +24,9 @@
 
 class GatewaySite {
  public:
-  explicit GatewaySite(const std::vector<SiteUpstream>& upstreams);
+  // The store gives its lists after `store_delay`.
+  explicit GatewaySite(const std::vector<SiteUpstream>& upstreams,
+                       std::chrono::milliseconds store_delay = {});
   ~GatewaySite();
   GatewaySite(const GatewaySite&) = delete;
   GatewaySite& operator=(const GatewaySite&) = delete;
