--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -150,6 +150,7 @@
   // What this instance runs at an upstream has changed.
   void NoteUse(const Run& run);
   bool IsRelayedHere(const PeerState& peer, Time now) const;
+  bool HearsOfReaderBut(const InstanceName& name, Time now) const;
   void TakeUses(PeerState& peer, const PeerDigest& digest, Time now);
   void TakeParts(const PeerDigest& digest, Time now);
 
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -103,6 +103,14 @@
          now - peer.heard < m_settings.digest_lifetime;
 }
 
+// Whether a peer other than `name` has had an answer of the store of late.
+bool Router::HearsOfReaderBut(const InstanceName& name, Time now) const {
+  return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& peer) {
+    return peer.first != name && peer.second.digest.reads_store &&
+           now - peer.second.heard < m_settings.digest_lifetime;
+  });
+}
+
 PeerDigest Router::TakeGroupDigest(bool leaving, bool reads_store, Time now) {
   PeerDigest digest = DigestHead(leaving, reads_store);
   digest.scope = DigestScope::kGroup;
@@ -153,12 +161,7 @@
     }
     PeerDigest digest = DigestHead(leaving, reads_store);
     digest.scope = DigestScope::kAll;
-    digest.reads_store =
-        reads_store ||
-        std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& other) {
-          return other.first != name && other.second.digest.reads_store &&
-                 now - other.second.heard < m_settings.digest_lifetime;
-        });
+    digest.reads_store = reads_store || HearsOfReaderBut(name, now);
     digest.serving.assign(serving.begin(), serving.end());
     digest.cached_parts = parts;
     for (const auto& [state, total] : totals) {
