--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -4,12 +4,15 @@
 
 #include <fmt/format.h>
 #include <getopt.h>
+#include <unistd.h>
 
+#include <unistd.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
+
 #include <csignal>
 #include <filesystem>
 
@@ -102,7 +105,8 @@
 bool PlaySeed(const Options& options, uint64_t seed) {
   SoakPlan plan = options.plan;
   plan.seed = seed;
-  plan.folder = fmt::format("{}/pomeloring-soak-{}", options.keep, seed);
+  plan.folder =
+      fmt::format("{}/pomeloring-soak-{}-{}", options.keep, seed, getpid());
   std::filesystem::remove_all(plan.folder);
   std::filesystem::create_directories(plan.folder);
   Oracle oracle;
--- a/test/soak/soak_site.cc
+++ b/test/soak/soak_site.cc
@@ -82,8 +82,9 @@
       m_plan(plan),
       m_oracle(oracle),
       // Soaks that run beside each other do not meet.
-      m_network(
-          fmt::format("127.{}.{}", 100 + plan.seed % 100, getpid() % 250 + 1)),
+      m_network(fmt::format("127.{}.{}",
+                            100 + (plan.seed + getpid() / 250) % 100,
+                            getpid() % 250 + 1)),
       m_random(StableHash("soak", plan.seed)),
       m_begin(Clock::now()) {}
 
