--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -46,7 +46,9 @@
 constexpr double kBitsPerByte = 8;   // And Mbit/s are bits per microsecond.
 // Two idle digests of a relay that did not come.
 constexpr Duration kRelaySilence = milliseconds(900);
+// A relay that was silent may have been paused or cut off for some seconds.
 constexpr Duration kRelayRetry = seconds(10);
+// Looks at every member; members change some times a second at the most.
 constexpr Duration kChooseRelaysInterval = milliseconds(200);
 
 auto Await(error_code& error) {
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -23,6 +23,7 @@
 // A request whose prompt would break the pauses of others waits for this share
 // of its latency target at the most.
 constexpr double kDeferShare = 0.3;
+// Less than the loss of one broken pause: not worth holding a request back.
 constexpr double kMinHarmToDeferMs = 300;
 // Cost of a fully busy reader to a pause-sensitive run that joins it: what is
 // read next is not known yet.
@@ -42,9 +43,12 @@
 // A start that is expected later than this share of the time left leaves too
 // little to finish.
 constexpr double kLatestStartShare = 0.6;
+// Bounds of what is learnt, a tenth and ten times of usual engines about.
 constexpr double kMinRateTokensPerMs = 5;
 constexpr double kMaxRateTokensPerMs = 1000;
+// The first event of a shorter prompt is mostly the way there and back.
 constexpr uint32_t kMinTokensToLearn = 1000;
+// Some ten runs move the rate by two thirds.
 constexpr double kLearnWeight = 0.1;
 
 Duration FromMillis(double ms) {
@@ -61,6 +65,7 @@
 constexpr double kReadShareStep = 0.6;
 // Cost of a fully busy reader to a stream that joins it.
 constexpr double kReadShareCostMs = 150;
+// A caller that comes back sooner meets the same load.
 constexpr Duration kMinRetryAfter = milliseconds(100);
 
 struct Estimate {
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -80,7 +80,7 @@
                                     const InstanceName& relayed_by) {
   PeerDigest digest = DigestHead(leaving, reads_store);
   digest.relayed_by = relayed_by;
-  m_told_group = {};  // Nor the group's.
+  m_told_group = {};  // Other relays are told the group's uses no more.
   digest.has_changed_uses_only =
       relayed_by == m_told_to && now - m_told_all < kTellAllInterval;
   m_told_to = relayed_by;
--- a/test/soak/oracle.cc
+++ b/test/soak/oracle.cc
@@ -10,6 +10,8 @@
 constexpr size_t kMaxRuns = 2;  // `max_attempts` of every route.
 // After a caller has left, what is under way may still arrive.
 constexpr std::chrono::milliseconds kLeaveSlack{1000};
+// Of requests without a fault anywhere; stricter than the quarter that the
+// users' platform asks for after a restart of everything.
 constexpr double kServedWhenCalm = 0.9;
 constexpr size_t kMinCalmRequests = 20;
 
