Log the shared prompt parts of an attempt, and how far a failed one had come

The hypotheses of the incident could not be told apart from the log: it named neither the parts of a prompt nor who else was at an engine without an event when it ended.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -2,7 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/beast/http.hpp>
+#include <span>
 
 #include "link/clock.h"
 #include "link/sleep.h"
@@ -34,6 +36,21 @@
 // No shorter than the age of the known loads of other instances.
 constexpr milliseconds kPlacementPollInterval{20};
 
+// Limits the length of log lines.
+constexpr size_t kMaxLoggedParts = 8;
+
+// The parts of a prompt that other requests may share, for the log: all but the
+// last, as callers name them.
+std::string FormatSharedParts(std::span<const PromptPart> parts) {
+  std::string text;
+  const size_t shared = parts.empty() ? 0 : parts.size() - 1;
+  for (const PromptPart& part :
+       parts.first(std::min(shared, kMaxLoggedParts))) {
+    text += fmt::format("{}{:x}", text.empty() ? "" : ",", part.caller_id);
+  }
+  return text;
+}
+
 }  // namespace
 
 Exchange::Exchange(GatewayContext& gateway,
@@ -318,6 +335,7 @@
        {"expected_ms",
         fmt::format("{:.0f}", ToMillis(attempt->placement.expected_latency))},
        {"running", std::to_string(TotalLoad(*attempt->upstream).running)},
+       {"parts", FormatSharedParts(m_metadata.prompt_parts)},
        {"upstreams_as_of",
         std::to_string(m_gateway.router.Upstreams().as_of.value)}});
   m_placed_attempt = attempt;
@@ -338,6 +356,17 @@
       !m_last_reply.is_stream) {
     end = AttemptEnd::kBroken;
   }
+  if (end == AttemptEnd::kBroken || end == AttemptEnd::kSilent) {
+    m_gateway.log.Write(
+        LogLevel::kInfo, "attempt-failed",
+        {{"request", m_metadata.id},
+         {"upstream", attempt->upstream->record.id.value},
+         {"end", std::string(ToString(end))},
+         {"status", std::to_string(m_last_reply.status)},
+         {"events", std::to_string(attempt->events)},
+         {"run_ms", fmt::format("{:.0f}", ToMillis(Now() - attempt->started))},
+         {"parts", FormatSharedParts(m_metadata.prompt_parts)}});
+  }
   m_gateway.router.EndAttempt(*attempt, OutcomeOf(end), Now());
   m_gateway.on_load_change();
   if (end != AttemptEnd::kNotSent && end != AttemptEnd::kWithdrawn &&
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -267,7 +267,7 @@
     if (state == m_states.end()) {
       continue;
     }
-    const PromptPart known[] = {{part, 0}};
+    const PromptPart known[] = {{part, 0, 0}};
     RecordCachedParts(*state->second, known, now);
     if (m_is_relay && is_relayed_here) {
       Append(m_parts_to_send, {name, part});
--- a/src/routing/upstream_state.h
+++ b/src/routing/upstream_state.h
@@ -19,8 +19,9 @@
 
 // A part of a prompt that several requests may share.
 struct PromptPart {
-  uint64_t id = 0;
+  uint64_t id = 0;  // Differs between models.
   uint32_t tokens = 0;
+  uint64_t caller_id = 0;  // As callers name it, for logs.
 };
 
 // Engines prefill the prompts of more urgent requests first; ranks beyond the
