Quarantine prompt parts under which engines exit

Callers saw streams break off all over the fleet while requests with one prompt part came: each attempt ended an engine and the 5 to 20 streams that ran there.

Cause: an instance blamed the engine for each broken stream and sent the request on; no instance compared what had been at the engines that ended, and each saw a ninth of it.

Change: an instance finds out by a connection whether an upstream has exited or one connection was lost (exit_watch), counts exits against the shared parts of the requests that had no answer there, and tells peers in its digests (prompt_quarantine). An answer that goes on clears its parts, everywhere. Two exits with a begun reply quarantine a part without recent answers, three and two seconds one with; exits that a quarantined part explains do not count against others. Until then a suspect goes to one engine, the same for all instances, and is not retried. Requests in a queue, for a connection or not begun at an engine are taken back. Trials free a part again: after 60 s, doubling, by one instance.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -141,6 +141,7 @@
     LogResult();
     co_return ShouldKeepAlive();
   }
+  m_gateway.admitted_exchanges.insert(this);
   m_gateway.router.CountRequest(m_service, m_received_at);
   ArmDeadline();
   m_client->SetDisconnectHandler([self] {
@@ -150,6 +151,7 @@
   co_await RunAttempts();
   m_client->SetDisconnectHandler(nullptr);
   m_deadline.cancel();
+  m_gateway.admitted_exchanges.erase(this);
   LogResult();
   co_return ShouldKeepAlive();
 }
@@ -225,8 +227,8 @@
 bool Exchange::ShouldRetry(AttemptEnd end) {
   const bool upstream_failed =
       end == AttemptEnd::kWhole && m_last_reply.status >= 500;
-  if (m_timed_out || end == AttemptEnd::kStopped || m_stream_broken ||
-      (end == AttemptEnd::kWhole && !upstream_failed) ||
+  if (m_timed_out || m_is_suspected || end == AttemptEnd::kStopped ||
+      m_stream_broken || (end == AttemptEnd::kWhole && !upstream_failed) ||
       TimeLeft() < kMinRetryTime) {
     return false;
   }
@@ -369,6 +371,9 @@
   }
   m_gateway.router.EndAttempt(*attempt, OutcomeOf(end), Now());
   m_gateway.on_load_change();
+  if (end == AttemptEnd::kBroken && attempt->tokens_per_event > 0) {
+    co_await CheckForExit(*attempt);
+  }
   if (end != AttemptEnd::kNotSent && end != AttemptEnd::kWithdrawn &&
       end != AttemptEnd::kNotExecuted) {
     m_may_have_executed = true;
@@ -380,4 +385,48 @@
   co_return end;
 }
 
+// Answers under each part of a bystander's prompt have gone on elsewhere; a
+// retry of any other request may end the next engine.
+asio::awaitable<void> Exchange::CheckForExit(const PlacedAttempt& attempt) {
+  Router& router = m_gateway.router;
+  const bool reply_had_begun = m_last_reply.status != 0;
+  router.RecordBreak(attempt, reply_had_begun, Now());
+  if (router.IsExitPossible(attempt)) {
+    auto opened =
+        co_await m_gateway.pool.Open(attempt.upstream->record.address);
+    ProbeResult result = ProbeResult::kUnknown;
+    if (auto* connection =
+            std::get_if<std::shared_ptr<UpstreamConnection>>(&opened)) {
+      result = ProbeResult::kAccepted;
+      m_gateway.pool.ReturnIdle(std::move(*connection));
+    } else if (const auto* failed = std::get_if<UnreachableUpstream>(&opened)) {
+      result = failed->is_refused ? ProbeResult::kRefused : result;
+    }
+    router.RecordProbe(attempt, result, Now());
+  }
+  m_is_suspected = reply_had_begun && attempt.events == 0 &&
+                   router.HasExited(attempt) &&
+                   !HadRecentAnswers(router.Quarantine(), attempt.parts, Now());
+  if (router.HasExited(attempt)) {
+    m_gateway.log.Write(
+        LogLevel::kWarning, "upstream-exited",
+        {{"request", m_metadata.id},
+         {"upstream", attempt.upstream->record.id.value},
+         {"process",
+          fmt::format("{:x}", ProcessIdOf(attempt.upstream->record))},
+         {"reply_begun", reply_had_begun ? "true" : "false"},
+         {"events", std::to_string(attempt.events)},
+         {"suspected", m_is_suspected ? "true" : "false"},
+         {"parts", FormatSharedParts(m_metadata.prompt_parts)}});
+  }
+}
+
+void Exchange::StopIfQuarantined() {
+  if (m_placed_attempt && m_upstream_attempt && m_placed_attempt->events == 0 &&
+      m_gateway.router.IsQuarantined(*m_placed_attempt, Now())) {
+    m_is_suspected = true;
+    StopAttempt();
+  }
+}
+
 }  // namespace pomeloring
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -31,6 +31,9 @@
 
   // Serves the request. Returns false if the connection must be closed.
   boost::asio::awaitable<bool> Serve();
+  // Stops an attempt that has no event yet if a part of its prompt has been
+  // quarantined: its engine would exit.
+  void StopIfQuarantined();
 
  private:
   // How the request ended, for the log and the metrics.
@@ -44,6 +47,8 @@
   boost::asio::awaitable<void> RunAttempts();
   boost::asio::awaitable<AttemptEnd> RunAttempt(
       std::shared_ptr<PlacedAttempt> attempt);
+  // Finds out whether the upstream of a broken attempt has exited.
+  boost::asio::awaitable<void> CheckForExit(const PlacedAttempt& attempt);
   boost::asio::awaitable<bool> WaitForCapacity();
   std::string SerializeForUpstream(const PlacedAttempt& attempt) const;
   UpstreamAttempt::Request MakeUpstreamRequest(
@@ -62,6 +67,7 @@
   bool ShouldKeepAlive() const;
   void ArmDeadline();
   void StopAttempt();
+  void LogQuarantine(size_t part_index) const;
   void LogResult();
 
   GatewayContext& m_gateway;
@@ -83,6 +89,8 @@
   std::vector<UpstreamName> m_failed_upstreams;
   uint32_t m_executed_attempts = 0;  // Those that may have executed.
   bool m_may_have_executed = false;
+  // Its engine has exited, and it may have caused that.
+  bool m_is_suspected = false;
   bool m_stream_started = false;
   bool m_stream_broken = false;
   std::optional<EventSplitter> m_event_splitter;
--- a/src/gateway/exchange_replies.cc
+++ b/src/gateway/exchange_replies.cc
@@ -17,6 +17,9 @@
       return {
           503, "upstream-limit",
           "the upstreams in use have asked for a pause or for fewer requests"};
+    case PlacementRefusal::kQuarantined:
+      return {503, "quarantined-prompt",
+              "engines exit under a part of this prompt"};
     case PlacementRefusal::kNoUpstream:
       break;
   }
@@ -111,9 +114,39 @@
        {"retry_after_ms", fmt::format("{:.0f}", ToMillis(reply.retry_after))},
        {"upstreams_as_of",
         std::to_string(m_gateway.router.Upstreams().as_of.value)}});
+  if (unplaced.reason == PlacementRefusal::kQuarantined) {
+    LogQuarantine(unplaced.quarantined_part);
+  }
   co_await SendLocalReply(std::move(reply));
 }
 
+// Names the engines' processes as "upstream-exited" does.
+void Exchange::LogQuarantine(size_t part_index) const {
+  const PromptPart& part = m_metadata.prompt_parts[part_index];
+  const auto found = m_gateway.router.Quarantine().parts.find(part.id);
+  CountEvent(m_gateway.metrics, "quarantined_requests");
+  if (found == m_gateway.router.Quarantine().parts.end()) {
+    return;
+  }
+  const PartEvidence& evidence = found->second;
+  std::string exits;
+  for (const auto& [process, reply_had_begun] : evidence.exits) {
+    exits += fmt::format("{}{:x}", exits.empty() ? "" : ",", process);
+  }
+  const Time now = Now();
+  m_gateway.log.Write(
+      LogLevel::kInfo, "prompt-quarantined",
+      {{"request", m_metadata.id},
+       {"part", fmt::format("{:x}", part.caller_id)},
+       {"key", fmt::format("{:x}", part.id)},
+       {"exited", exits},
+       {"known_for_ms",
+        fmt::format("{:.0f}", ToMillis(now - evidence.quarantined_at))},
+       {"trials", std::to_string(evidence.trials)},
+       {"next_trial_ms",
+        fmt::format("{:.0f}", ToMillis(evidence.next_trial_at - now))}});
+}
+
 asio::awaitable<void> Exchange::ReplyAfterAttempt(AttemptEnd end) {
   // These statuses state that a request was not executed, but this one was.
   const unsigned status = m_last_reply.status;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -18,6 +18,7 @@
 
 #include "daemon/log.h"
 #include "gateway/client_connection.h"
+#include "gateway/exchange.h"
 #include "gateway/gateway_context.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/serve_connection.h"
@@ -115,7 +116,8 @@
         m_feed({m_context, m_router, *m_store, m_store_codec, m_log, m_metrics,
                 [this] { m_peers.RequestDigest(); }},
                MakeFeedSettings(m_settings)),
-        m_peers({m_context, m_router, m_feed, m_log, m_metrics},
+        m_peers({m_context, m_router, m_feed, m_log, m_metrics,
+                 [this] { ApplyQuarantines(); }},
                 m_self,
                 m_settings.seeds),
         m_gateway_context{m_context, m_router, m_pool,
@@ -303,6 +305,30 @@
     }
   }
 
+  // Requests that are with an engine already are taken back before they begin.
+  void ApplyQuarantines() {
+    const std::vector<PartId> parts = m_router.TakeNewQuarantines();
+    for (const PartId part : parts) {
+      const auto found = m_router.Quarantine().parts.find(part);
+      if (found == m_router.Quarantine().parts.end()) {
+        continue;
+      }
+      CountEvent(m_metrics, "part_quarantines");
+      m_log.Write(
+          LogLevel::kWarning, "part-quarantined",
+          {{"key", fmt::format("{:x}", part)},
+           {"exits", std::to_string(found->second.exits.size())},
+           {"first_exit_ms",
+            fmt::format("{:.0f}",
+                        ToMillis(Now() - found->second.first_exit_at))}});
+    }
+    if (!parts.empty()) {
+      for (Exchange* exchange : m_gateway_context.admitted_exchanges) {
+        exchange->StopIfQuarantined();
+      }
+    }
+  }
+
   void LogEngineEstimates(Time now) {
     for (const auto& [service, engines] : m_router.Engines()) {
       if (engines.observations == 0) {
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <set>
 
 #include "daemon/log.h"
 #include "gateway/gateway_metrics.h"
@@ -15,6 +16,8 @@
 
 namespace pomeloring {
 
+class Exchange;
+
 struct GatewayContext {
   boost::asio::io_context& context;
   Router& router;
@@ -26,7 +29,8 @@
   bool close_after_reply = false;  // Closes each connection after a reply.
   bool reject_requests = false;    // New requests get a 503.
   size_t active_exchanges = 0;     // Requests in progress.
-  std::function<void()> on_load_change;  // Sends the change to peers.
+  std::set<Exchange*> admitted_exchanges;  // Those that may reach an upstream.
+  std::function<void()> on_load_change;    // Sends the change to peers.
 };
 
 }  // namespace pomeloring
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace pomeloring {
 
 void CountRequestEnd(GatewayMetrics& metrics,
@@ -71,6 +73,15 @@
         engines.prefill_ms_per_token, engines.empty_step_ms,
         engines.full_batch_step_ms, engines.observations);
   }
+  const auto& parts = router.Quarantine().parts;
+  out += fmt::format(
+      "pomeloring_quarantined_parts {}\npomeloring_suspected_parts {}\n",
+      std::count_if(
+          parts.begin(), parts.end(),
+          [](const auto& entry) { return entry.second.is_quarantined; }),
+      std::count_if(parts.begin(), parts.end(), [](const auto& entry) {
+        return !entry.second.is_quarantined && !entry.second.exits.empty();
+      }));
   for (const UpstreamState* upstream : router.AllUpstreams()) {
     const UpstreamLoad load = TotalLoad(*upstream);
     out += fmt::format(
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -1,5 +1,6 @@
 #include "gateway/peer_codec.h"
 
+#include <algorithm>
 #include <map>
 
 #include "peer_digest.pb.h"
@@ -27,6 +28,51 @@
   return delta;
 }
 
+int64_t ToWholeMillis(Duration duration) {
+  return duration.count() / 1000;
+}
+
+void EncodePartNotice(const PartNotice& notice, wire::PartNotice& out) {
+  out.set_part(notice.part);
+  out.set_epoch(notice.epoch);
+  for (const auto& [process, reply_had_begun] : notice.exits) {
+    wire::EngineExit& exit = *out.add_exits();
+    exit.set_process(process);
+    exit.set_reply_had_begun(reply_had_begun);
+  }
+  out.set_had_answers(notice.had_answers);
+  out.set_is_quarantined(notice.is_quarantined);
+  out.set_trials(notice.trials);
+  out.set_first_exit_age_ms(ToWholeMillis(notice.first_exit_age));
+  out.set_last_change_age_ms(ToWholeMillis(notice.last_change_age));
+  out.set_quarantine_age_ms(ToWholeMillis(notice.quarantine_age));
+  out.set_until_next_trial_ms(ToWholeMillis(notice.until_next_trial));
+}
+
+// Durations beyond this are not sent by any instance.
+constexpr int64_t kMaxNoticeMillis = int64_t{7} * 24 * 3600 * 1000;
+
+Duration FromWholeMillis(int64_t ms) {
+  return milliseconds{std::clamp(ms, -kMaxNoticeMillis, kMaxNoticeMillis)};
+}
+
+PartNotice DecodePartNotice(const wire::PartNotice& in) {
+  PartNotice notice;
+  notice.part = in.part();
+  notice.epoch = in.epoch();
+  for (const wire::EngineExit& exit : in.exits()) {
+    notice.exits.emplace_back(exit.process(), exit.reply_had_begun());
+  }
+  notice.had_answers = in.had_answers();
+  notice.is_quarantined = in.is_quarantined();
+  notice.trials = in.trials();
+  notice.first_exit_age = FromWholeMillis(in.first_exit_age_ms());
+  notice.last_change_age = FromWholeMillis(in.last_change_age_ms());
+  notice.quarantine_age = FromWholeMillis(in.quarantine_age_ms());
+  notice.until_next_trial = FromWholeMillis(in.until_next_trial_ms());
+  return notice;
+}
+
 }  // namespace
 
 std::string EncodeDigest(const PeerDigest& digest) {
@@ -75,6 +121,9 @@
       entry.set_requests_per_s(*notice.request_limit);
     }
   }
+  for (const PartNotice& notice : digest.part_notices) {
+    EncodePartNotice(notice, *out.add_parts());
+  }
   return out.SerializeAsString();
 }
 
@@ -126,6 +175,9 @@
     }
     digest.notices.push_back(std::move(notice));
   }
+  for (const wire::PartNotice& entry : in.parts()) {
+    digest.part_notices.push_back(DecodePartNotice(entry));
+  }
   return digest;
 }
 
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -293,6 +293,9 @@
       m_relays = ChooseRelays(LiveRelayCandidates());
       m_relay_set_chosen_at = now;
     }
+    if (m_context.on_tick) {
+      m_context.on_tick();
+    }
     SendDigests(now);
     error_code ignored;
     timer.expires_after(kTickInterval);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -28,6 +28,8 @@
   StoreFeed& feed;
   Log& log;
   GatewayMetrics& metrics;
+  // Called many times a second; may be empty.
+  std::function<void()> on_tick;
 };
 
 // Used from one thread.
--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -71,11 +71,15 @@
   if (host.open >= max_open) {
     co_return ConnectionLimitReached{};
   }
+  co_return co_await Open(std::move(address));
+}
+
+asio::awaitable<UpstreamConnectResult> UpstreamPool::Open(std::string address) {
   const auto endpoint = ParseTcpAddress(address);
   if (!endpoint) {
     co_return UnreachableUpstream{address};
   }
-  ++host.open;
+  ++m_hosts[address].open;
   ++m_opened_total;
   auto connection =
       std::make_shared<UpstreamConnection>(m_context.get_executor());
@@ -92,7 +96,8 @@
   timer.cancel();
   if (error || !connection->socket.is_open()) {
     RecordClosed(address);
-    co_return UnreachableUpstream{address};
+    co_return UnreachableUpstream{address,
+                                  error == asio::error::connection_refused};
   }
   connection->socket.set_option(tcp::no_delay(true), error);
   co_return connection;
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -33,6 +33,7 @@
 
 struct UnreachableUpstream {
   std::string address;
+  bool is_refused = false;  // No process listens there.
 };
 // This instance's share of the upstream's connections is in use.
 struct ConnectionLimitReached {};
@@ -52,6 +53,8 @@
   boost::asio::awaitable<UpstreamConnectResult> Connect(std::string address,
                                                         size_t max_open,
                                                         bool fresh_only);
+  // Opens a connection, whether there are idle ones or not.
+  boost::asio::awaitable<UpstreamConnectResult> Open(std::string address);
   // Returns a connection to the pool. No reply may be pending on it.
   void ReturnIdle(std::shared_ptr<UpstreamConnection> connection);
   // Records that a connection from Connect() was closed.
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/ids.h"
+#include "routing/prompt_quarantine.h"
 #include "routing/upstream_state.h"
 
 namespace pomeloring {
@@ -51,11 +52,13 @@
   std::vector<uint32_t> serving;
   // What all upstreams with any Backpressure ask, as far as the sender knows.
   std::vector<UpstreamNotice> notices;
+  // What is known against parts of prompts.
+  std::vector<PartNotice> part_notices;
 };
 
 // Splits a digest with many loads into several that fit into a datagram each.
-// The first keeps the cached parts and notices; the others list the remaining
-// loads as changes.
+// The first keeps the cached parts and all notices; the others list the
+// remaining loads as changes.
 std::vector<PeerDigest> SplitDigest(PeerDigest digest);
 // Sequence numbers reserved for the pieces of one digest.
 inline constexpr uint64_t kSequenceStep = 256;
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -48,6 +48,7 @@
   // The only usable upstreams have asked for a pause, or named limits of which
   // this instance has used its share.
   kLimited,
+  kQuarantined,  // Engines exit under a part of its prompt.
 };
 
 struct Unplaced {
@@ -64,6 +65,7 @@
   double max_ms = 0;                // Longest one that leaves time to finish.
   double prefill_ms_per_token = 0;  // See EngineEstimate.
   Duration estimate_age{0};
+  size_t quarantined_part = 0;  // For kQuarantined: index in the prompt.
 };
 
 // The request should wait and be placed later: all upstreams are full, a higher
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -14,6 +14,30 @@
 // A registration that comes back later than this is of a new process.
 constexpr Duration kDepartedRetention = seconds(600);
 
+// A stream's events after which its answer has gone on.
+constexpr uint64_t kEventsOfAnswer = 2;
+
+// Removes all candidates but one, which is the same at all instances with the
+// same candidates.
+void KeepOneFor(PartId part,
+                std::span<const UpstreamName> excluded,
+                std::vector<UpstreamState*>& candidates) {
+  std::erase_if(candidates, [&](const UpstreamState* candidate) {
+    return std::find(excluded.begin(), excluded.end(), candidate->record.id) !=
+           excluded.end();
+  });
+  const auto weight = [&](const UpstreamState* candidate) {
+    uint64_t seed = part ^ candidate->name_hash;
+    return NextRandom(seed);
+  };
+  const auto chosen = std::max_element(
+      candidates.begin(), candidates.end(),
+      [&](const auto* a, const auto* b) { return weight(a) < weight(b); });
+  if (chosen != candidates.end()) {
+    candidates = {*chosen};
+  }
+}
+
 bool IsSameProcess(const UpstreamRecord& a, const UpstreamRecord& b) {
   return a.started_at_ms == b.started_at_ms && a.address == b.address;
 }
@@ -216,13 +240,36 @@
   });
 }
 
+PromptAssessment Router::Assess(std::span<const PromptPart> parts,
+                                Time now) const {
+  PromptAssessment assessment = AssessPrompt(m_quarantine, parts, 0, now);
+  if (assessment.verdict != PromptVerdict::kTrial) {
+    return assessment;
+  }
+  const std::set<uint32_t> others = ServingPeerHashes(now);
+  const std::vector<uint32_t> hashes(others.begin(), others.end());
+  const size_t rank =
+      TrialRank(parts, m_quarantine, ShortHash(m_settings.name), hashes);
+  return AssessPrompt(m_quarantine, parts, rank, now);
+}
+
 StartAttemptResult Router::StartAttempt(const AttemptRequest& request,
                                         Time now) {
   const auto service = m_config->services.find(request.service);
   if (service == m_config->services.end()) {
     return Unplaced{PlacementRefusal::kNoUpstream, milliseconds(300)};
   }
-  const auto candidates = CollectCandidates(request.service, now);
+  const PromptAssessment prompt = Assess(request.parts, now);
+  if (prompt.verdict == PromptVerdict::kRefused) {
+    Unplaced unplaced{PlacementRefusal::kQuarantined, prompt.retry_after};
+    unplaced.quarantined_part = prompt.part_index;
+    return unplaced;
+  }
+  auto candidates = CollectCandidates(request.service, now);
+  if (prompt.verdict == PromptVerdict::kSuspect) {
+    KeepOneFor(request.parts[prompt.part_index].id, request.excluded,
+               candidates);
+  }
   for (UpstreamState* candidate : candidates) {
     DecayPrefillLoads(*candidate, now);
   }
@@ -262,6 +309,11 @@
                       now);
   }
   attempt->parts = request.parts;
+  attempt->is_trial = prompt.verdict == PromptVerdict::kTrial;
+  if (attempt->is_trial) {
+    BeginTrial(m_quarantine, request.parts[prompt.part_index].id, now);
+    m_has_pending_changes = true;
+  }
   attempt->prompt_tokens = request.prompt_tokens;
   attempt->started = now;
   attempt->route = request.route->name;
@@ -290,7 +342,9 @@
 }
 
 void Router::HandleEvents(PlacedAttempt& attempt, size_t count, Time now) {
+  const uint64_t events_before = attempt.events;
   attempt.events += count;
+  RecordAnswerIfGoingOn(attempt, events_before, now);
   const Duration gap = now - std::exchange(attempt.last_event_at, now);
   if (attempt.has_first_event) {
     if (attempt.tokens_per_event > 0 && count > 0) {
@@ -331,11 +385,97 @@
     const uint64_t tokens = attempt.events * attempt.tokens_per_event;
     RecordCompleteRun(m_engines[attempt.service], attempt.route,
                       static_cast<double>(tokens), now - attempt.started);
+    if (attempt.events > 0 && attempt.events < kEventsOfAnswer) {
+      m_has_pending_changes |= RecordAnswer(m_quarantine, attempt.parts, now);
+    }
   }
   RecordUpstreamOutcome(attempt.upstream->health, outcome, 0, now);
   MarkLoadChanged(attempt);
 }
 
+void Router::RecordAnswerIfGoingOn(const PlacedAttempt& attempt,
+                                   uint64_t events_before,
+                                   Time now) {
+  if (events_before < kEventsOfAnswer && attempt.events >= kEventsOfAnswer) {
+    m_has_pending_changes |= RecordAnswer(m_quarantine, attempt.parts, now);
+  }
+}
+
+// --- Exits -------------------------------------------------------------------
+
+// An upstream that leaves exits as planned, whatever runs there.
+void Router::RecordBreak(const PlacedAttempt& attempt,
+                         bool reply_had_begun,
+                         Time now) {
+  const UpstreamState& upstream = CurrentState(attempt);
+  if (attempt.events >= kEventsOfAnswer || attempt.parts.size() < 2 ||
+      upstream.record.draining || upstream.backpressure.is_leaving) {
+    return;
+  }
+  pomeloring::RecordBreak(
+      m_exits, attempt.upstream->record,
+      {attempt.parts, reply_had_begun && attempt.events == 0}, now);
+  ProcessExits(now);
+}
+
+void Router::RecordProbe(const PlacedAttempt& attempt,
+                         ProbeResult result,
+                         Time now) {
+  pomeloring::RecordProbe(m_exits, ProcessIdOf(attempt.upstream->record),
+                          result);
+  ProcessExits(now);
+}
+
+bool Router::HasExited(const PlacedAttempt& attempt) const {
+  return pomeloring::HasExited(m_exits, ProcessIdOf(attempt.upstream->record));
+}
+
+bool Router::IsExitPossible(const PlacedAttempt& attempt) const {
+  return m_exits.broken.contains(ProcessIdOf(attempt.upstream->record));
+}
+
+bool Router::IsQuarantined(const PlacedAttempt& attempt, Time now) const {
+  return !attempt.is_trial &&
+         Assess(attempt.parts, now).verdict == PromptVerdict::kRefused;
+}
+
+void Router::ProcessExits(Time now) {
+  const auto is_registered = [this](ProcessId process) {
+    return std::any_of(m_states.begin(), m_states.end(),
+                       [&](const auto& entry) {
+                         return ProcessIdOf(entry.second->record) == process;
+                       });
+  };
+  const auto last_byte_of_others = [this](const UpstreamName& upstream) {
+    Time last;
+    for (const auto& [name, state] : m_states) {
+      last =
+          name == upstream ? last : std::max(last, state->health.last_byte_at);
+    }
+    return last;
+  };
+  if (m_exits.broken.empty()) {
+    return;
+  }
+  for (const ConfirmedExit& exit :
+       TakeConfirmedExits(m_exits, is_registered, last_byte_of_others, now)) {
+    for (const BrokenAttempt& attempt : exit.broken.attempts) {
+      AddQuarantines(RecordExit(m_quarantine, attempt.parts, exit.process,
+                                attempt.reply_had_begun, now));
+    }
+    m_has_pending_changes = true;
+  }
+}
+
+void Router::AddQuarantines(const std::vector<PartId>& parts) {
+  m_new_quarantines.insert(m_new_quarantines.end(), parts.begin(), parts.end());
+  m_has_pending_changes |= !parts.empty();
+}
+
+std::vector<PartId> Router::TakeNewQuarantines() {
+  return std::exchange(m_new_quarantines, {});
+}
+
 // A registration that goes and comes back while an attempt runs gets another
 // state, but the process is the same.
 UpstreamState& Router::CurrentState(const PlacedAttempt& attempt) const {
@@ -364,7 +504,8 @@
 
 bool Router::MaySend(const PlacedAttempt& attempt, Time now) const {
   const Backpressure& asked = CurrentState(attempt).backpressure;
-  return !asked.is_leaving && now >= asked.paused_until;
+  return !asked.is_leaving && now >= asked.paused_until &&
+         !IsQuarantined(attempt, now);
 }
 
 // --- Time -------------------------------------------------------------------
@@ -393,6 +534,8 @@
     }
   }
   DivideLimits(now);
+  ProcessExits(now);
+  AddQuarantines(TickQuarantine(m_quarantine, now));
   std::erase_if(m_departed, [&](const auto& entry) {
     return now - entry.second.departed_at >= kDepartedRetention;
   });
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "routing/baseline_policies.h"
+#include "routing/exit_watch.h"
 #include "routing/peer_digest.h"
 #include "routing/placement.h"
 #include "routing/routing_config.h"
@@ -51,6 +52,8 @@
   Time started;
   // No prefill was pending at the upstream when the attempt started.
   bool no_prefill_ahead = false;
+  // Tells whether engines still exit under a part; see AssessPrompt().
+  bool is_trial = false;
   bool has_first_event = false;
   std::string route;
   Duration latency_target{0};
@@ -127,6 +130,21 @@
   // Records events of a stream. The first ones tell that the prefill has ended.
   void HandleEvents(PlacedAttempt& attempt, size_t count, Time now);
   void EndAttempt(PlacedAttempt& attempt, UpstreamOutcome outcome, Time now);
+  // Records that the connection of an attempt broke before an answer had gone
+  // on. Whether the upstream has exited is known after RecordProbe(), or once
+  // its registration changes.
+  void RecordBreak(const PlacedAttempt& attempt,
+                   bool reply_had_begun,
+                   Time now);
+  void RecordProbe(const PlacedAttempt& attempt, ProbeResult result, Time now);
+  bool HasExited(const PlacedAttempt& attempt) const;
+  // Whether attempts have broken at the upstream and it is not known why.
+  bool IsExitPossible(const PlacedAttempt& attempt) const;
+  // Whether the attempt has a quarantined part and is not a trial of it.
+  bool IsQuarantined(const PlacedAttempt& attempt, Time now) const;
+  const PromptQuarantine& Quarantine() const { return m_quarantine; }
+  // Returns the parts quarantined since the last call.
+  std::vector<PartId> TakeNewQuarantines();
   // Records what the reply to an attempt asks of this instance.
   BackpressureChange RecordReply(PlacedAttempt& attempt,
                                  const ReplySignals& signals,
@@ -202,10 +220,16 @@
   bool WasHigherPriorityRefused(const AttemptRequest& request, Time now) const;
   std::vector<UpstreamState*> CollectCandidates(const ServiceName& service,
                                                 Time now);
+  PromptAssessment Assess(std::span<const PromptPart> parts, Time now) const;
+  void RecordAnswerIfGoingOn(const PlacedAttempt& attempt,
+                             uint64_t events_before,
+                             Time now);
+  void ProcessExits(Time now);
+  void AddQuarantines(const std::vector<PartId>& parts);
   // Updates `m_states` and `m_by_service` from the records of `changed`.
   void SyncStates(std::span<const UpstreamName> changed, Time now);
   void DropPeerLoads(const InstanceName& peer);
-  PeerDigest MakeDigestHeader(bool leaving, bool reads_store);
+  PeerDigest MakeDigestHeader(bool leaving, bool reads_store, Time now);
   void QueuePart(const UpstreamState& upstream, uint64_t part, Time now);
   // Marks the load at the attempt's upstream as changed, for the next digests.
   void MarkLoadChanged(const PlacedAttempt& attempt);
@@ -215,6 +239,7 @@
   void ApplyLoads(PeerState& peer, const PeerDigest& digest, Time now);
   void ApplyParts(const PeerDigest& digest, Time now);
   void ApplyNotices(const PeerDigest& digest, Time now);
+  void ApplyPartNotices(const PeerDigest& digest, Time now);
   std::vector<UpstreamNotice> BuildNotices() const;
   // Divides the upstreams' limits among the instances that serve now.
   void DivideLimits(Time now);
@@ -235,6 +260,9 @@
   // When the store was seen to be restored from an older copy.
   std::optional<Time> m_store_restored_at;
   std::map<ServiceName, SharedRetryBudget> m_retry_budgets;
+  ExitWatch m_exits;
+  PromptQuarantine m_quarantine;
+  std::vector<PartId> m_new_quarantines;
   // Time of the last refusal for lack of capacity, by service and priority.
   std::map<ServiceName, std::map<uint32_t, Time>> m_last_refusals;
   std::map<ServiceName, EngineEstimate> m_engines;
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -61,7 +61,7 @@
   m_has_pending_changes = true;
 }
 
-PeerDigest Router::MakeDigestHeader(bool leaving, bool reads_store) {
+PeerDigest Router::MakeDigestHeader(bool leaving, bool reads_store, Time now) {
   PeerDigest digest;
   digest.sender = m_settings.name;
   digest.incarnation = m_settings.incarnation;
@@ -73,6 +73,7 @@
   digest.upstreams_hash = m_table.hash;
   digest.reads_store = reads_store;
   digest.notices = BuildNotices();
+  digest.part_notices = MakePartNotices(m_quarantine, now);
   return digest;
 }
 
@@ -80,7 +81,7 @@
                                bool reads_store,
                                Time now,
                                const InstanceName& relayed_by) {
-  PeerDigest digest = MakeDigestHeader(leaving, reads_store);
+  PeerDigest digest = MakeDigestHeader(leaving, reads_store, now);
   digest.relayed_by = relayed_by;
   // This digest does not contain the group's loads, so that other relays miss
   // their changes: the next group digest has to be a full one.
@@ -116,7 +117,7 @@
 }
 
 PeerDigest Router::BuildGroupDigest(bool leaving, bool reads_store, Time now) {
-  PeerDigest digest = MakeDigestHeader(leaving, reads_store);
+  PeerDigest digest = MakeDigestHeader(leaving, reads_store, now);
   digest.scope = DigestScope::kGroup;
   // This digest contains the local loads only as a part of the group's: the
   // next digest of local loads alone has to be a full one.
@@ -167,7 +168,7 @@
     if (!IsRelayedHere(peer, now)) {
       continue;
     }
-    PeerDigest digest = MakeDigestHeader(leaving, reads_store);
+    PeerDigest digest = MakeDigestHeader(leaving, reads_store, now);
     digest.scope = DigestScope::kAll;
     digest.reads_store = reads_store || HasOtherReader(name, now);
     digest.serving.assign(serving.begin(), serving.end());
@@ -228,6 +229,7 @@
   }
   ApplyParts(digest, now);
   ApplyNotices(digest, now);
+  ApplyPartNotices(digest, now);
   m_has_pending_relay_changes |= m_is_relay;
   m_has_pending_changes |= m_is_relay && IsRelayedHere(peer, now);
   if (!m_config_behind_since && IsConfigBehind(digest)) {
@@ -310,6 +312,13 @@
   }
 }
 
+void Router::ApplyPartNotices(const PeerDigest& digest, Time now) {
+  const PartNoticeResult result =
+      pomeloring::ApplyPartNotices(m_quarantine, digest.part_notices, now);
+  m_has_pending_changes |= result.has_changes;
+  AddQuarantines(result.quarantined);
+}
+
 void Router::DivideLimits(Time now) {
   std::set<uint32_t> others;
   for (const auto& [name, state] : m_states) {
