--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -24,6 +24,8 @@
   // Start of the upstream's process, in ms since 1970; 0 if unknown. A new
   // value under the same id means that the upstream has lost all its state.
   int64_t started_at_ms = 0;
+  // Empty if unknown. A stream can go on only at the version that began it.
+  std::string software_version;
   bool operator==(const UpstreamRecord&) const = default;
 };
 
--- a/test/support/gateway_site.cc
+++ b/test/support/gateway_site.cc
@@ -68,6 +68,7 @@
            json::serialize(json::object{{"service", upstream.service},
                                         {"address", upstream.address},
                                         {"zone", "here"},
+                                        {"version", upstream.software_version},
                                         {"slots", 8},
                                         {"state", "ready"}})});
     }
--- a/test/support/gateway_site.h
+++ b/test/support/gateway_site.h
@@ -21,6 +21,7 @@
   std::string id;
   std::string service;
   std::string address;
+  std::string software_version = "v1";
 };
 
 class GatewaySite {
