Keep a stream at the software version that began it

Callers got streams with events of two software versions, whose parts do not fit together.

Cause: placement did not know versions, so that a broken stream was resumed wherever it cost least (12 of 16 at one crash went to another version); and what a caller takes up again was a new request to the instance, which did not read what it names. Class: state of a stream kept by one connection.

Change: a registration's version is read and is part of the process's identity. A stream with an event goes on only at its version. Its origin is told to three other instances, chosen by rendezvous hashing, before the first event is passed on, while versions differ; an instance that does not know a stream asks. Unknown and versions differ: 503 at once. The service of a stream follows its origin too. Ruled out: telling all instances in digests (340 KB/s at each of 295, by arithmetic); choosing versions by a hash of the id (wrong whenever the set of versions changes).

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -51,6 +51,11 @@
   return text;
 }
 
+std::optional<std::string> VersionOf(
+    const std::optional<StreamOrigin>& origin) {
+  return origin ? std::optional(origin->software_version) : std::nullopt;
+}
+
 }  // namespace
 
 Exchange::Exchange(GatewayContext& gateway,
@@ -141,6 +146,13 @@
     LogResult();
     co_return ShouldKeepAlive();
   }
+  if (IsResumption()) {
+    if (auto refusal = co_await FindOriginOfResumed()) {
+      co_await SendLocalReply(std::move(*refusal));
+      LogResult();
+      co_return ShouldKeepAlive();
+    }
+  }
   m_gateway.admitted_exchanges.insert(this);
   m_gateway.router.CountRequest(m_service, m_received_at);
   ArmDeadline();
@@ -156,6 +168,75 @@
   co_return ShouldKeepAlive();
 }
 
+bool Exchange::IsResumption() const {
+  return m_metadata.resume_after && m_route->kind == RouteKind::kStreaming;
+}
+
+StreamKey Exchange::KeyOfStream() const {
+  const bool is_named = IsResumption() && !m_metadata.resumes.empty();
+  return StreamKeyOf(is_named ? m_metadata.resumes : m_metadata.id);
+}
+
+// While only one version of the service has served, and peers have seen no
+// other, the stream began there.
+asio::awaitable<std::optional<LocalReply>> Exchange::FindOriginOfResumed() {
+  const StreamOrigins& known = m_gateway.router.Origins();
+  StreamOriginReport report{FindOrigin(known, KeyOfStream()),
+                            RecentVersions(known, m_service)};
+  const char* source = "here";
+  if (!report.origin && (report.recent_versions.size() > 1 ||
+                         !KnowsAllRecentVersions(known, Now()))) {
+    auto told = co_await m_gateway.ask_for_origin(KeyOfStream(), m_service);
+    report.origin = std::move(told.origin);
+    report.recent_versions.merge(told.recent_versions);
+    source = "peers";
+  }
+  if (!report.origin && report.recent_versions.size() <= 1) {
+    report.origin =
+        StreamOrigin{m_service, report.recent_versions.empty()
+                                    ? std::string()
+                                    : *report.recent_versions.begin()};
+    source = "only version";
+  }
+  m_gateway.log.Write(
+      LogLevel::kInfo, "stream-taken-up",
+      {{"request", m_metadata.id},
+       {"resumes", m_metadata.resumes},
+       {"version", report.origin ? report.origin->software_version : ""},
+       {"source", report.origin ? source : "unknown"},
+       {"recent_versions", std::to_string(report.recent_versions.size())},
+       {"waited_ms", fmt::format("{:.0f}", ToMillis(Now() - m_received_at))}});
+  const auto is_origin = [&](const WeightedService& service) {
+    return service.service == report.origin->service;
+  };
+  if (!report.origin || std::none_of(m_route->services.begin(),
+                                     m_route->services.end(), is_origin)) {
+    CountEvent(m_gateway.metrics, "streams_of_unknown_version");
+    LocalReply refusal{503, "stream-version-unknown",
+                       "the version that began the stream is not known here",
+                       kDefaultRetryAfter};
+    co_return refusal;
+  }
+  m_service = report.origin->service;
+  m_origin = std::move(report.origin);
+  co_return std::nullopt;
+}
+
+// Peers are told before the caller gets the event and may take the stream up
+// elsewhere.
+void Exchange::RecordFirstEvent() {
+  if (m_origin) {
+    return;
+  }
+  m_origin = StreamOrigin{m_service,
+                          m_placed_attempt->upstream->record.software_version};
+  const StreamKey key = KeyOfStream();
+  if (m_route->resumable &&
+      m_gateway.router.RecordStreamBegin(key, *m_placed_attempt, Now())) {
+    m_gateway.send_origin({key, *m_origin});
+  }
+}
+
 asio::awaitable<void> Exchange::RunAttempts() {
   while (true) {
     const Time now = Now();
@@ -165,7 +246,8 @@
                                          m_metadata.prompt_parts,
                                          now - m_received_at,
                                          TimeLeft(),
-                                         m_failed_upstreams};
+                                         m_failed_upstreams,
+                                         VersionOf(m_origin)};
     auto result = m_gateway.router.StartAttempt(attempt_request, now);
     if (std::holds_alternative<Deferred>(result)) {
       if (!co_await WaitForCapacity()) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -44,6 +44,12 @@
 
   boost::asio::awaitable<void> AwaitReadiness();
   std::optional<LocalReply> Admit();
+  // Finds out at which version the stream began that the request takes up.
+  // Returns the reply if it can't go on.
+  boost::asio::awaitable<std::optional<LocalReply>> FindOriginOfResumed();
+  bool IsResumption() const;
+  StreamKey KeyOfStream() const;
+  void RecordFirstEvent();
   boost::asio::awaitable<void> RunAttempts();
   boost::asio::awaitable<AttemptEnd> RunAttempt(
       std::shared_ptr<PlacedAttempt> attempt);
@@ -93,6 +99,8 @@
   bool m_is_suspected = false;
   bool m_stream_started = false;
   bool m_stream_broken = false;
+  // Where the stream began, once it has an event; it goes on only there.
+  std::optional<StreamOrigin> m_origin;
   std::optional<EventSplitter> m_event_splitter;
   UpstreamReply m_last_reply;
   RequestResult m_result;
--- a/src/gateway/exchange_replies.cc
+++ b/src/gateway/exchange_replies.cc
@@ -53,6 +53,7 @@
   }
   if (events.count > 0) {
     const Time now = Now();
+    RecordFirstEvent();
     if (m_time_to_first_byte.count() == 0) {
       m_time_to_first_byte = now - m_received_at;
       ObserveFirstByte(m_gateway.metrics, m_route->name, m_time_to_first_byte);
@@ -75,6 +76,7 @@
   std::string last_chunk(kLastChunk);
   if (is_whole && co_await m_client->Write(std::move(last_chunk))) {
     m_result.outcome = "served";
+    m_gateway.router.RecordStreamEnd(KeyOfStream());
     co_return;
   }
   m_keep_alive = false;
@@ -93,6 +95,10 @@
   }
   LocalReply reply = RefusalReply(unplaced.reason);
   reply.retry_after = std::max(unplaced.retry_after, kDefaultRetryAfter);
+  if (m_origin && unplaced.reason == PlacementRefusal::kNoUpstream) {
+    reply.type = "no-upstream-of-version";
+    reply.detail = "no upstream of the version that began the stream is in use";
+  }
   if (m_may_have_executed) {
     reply = {502, "upstream-lost", "no other upstream can run it"};
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -125,6 +125,13 @@
         m_acceptor(m_context),
         m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {
     m_gateway_context.on_load_change = [this] { m_peers.RequestDigest(); };
+    m_gateway_context.send_origin = [this](const KeyedOrigin& stream) {
+      m_peers.SendOrigins({&stream, 1});
+    };
+    m_gateway_context.ask_for_origin = [this](StreamKey key,
+                                              ServiceName service) {
+      return m_peers.AskForOrigin(key, std::move(service));
+    };
   }
 
   ~RunningGateway() override { m_threads.Stop(); }
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -4,12 +4,14 @@
 #ifndef POMELORING_GATEWAY_GATEWAY_CONTEXT_H_
 #define POMELORING_GATEWAY_GATEWAY_CONTEXT_H_
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <set>
 
 #include "daemon/log.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/peer_codec.h"
 #include "gateway/upstream_connection.h"
 #include "gateway/wire_codec.h"
 #include "routing/router.h"
@@ -31,6 +33,11 @@
   size_t active_exchanges = 0;     // Requests in progress.
   std::set<Exchange*> admitted_exchanges;  // Those that may reach an upstream.
   std::function<void()> on_load_change;    // Sends the change to peers.
+  // Tells peers where a stream began, and asks them.
+  std::function<void(const KeyedOrigin&)> send_origin;
+  std::function<boost::asio::awaitable<StreamOriginReport>(StreamKey,
+                                                           ServiceName)>
+      ask_for_origin;
 };
 
 }  // namespace pomeloring
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -228,4 +228,55 @@
   return update;
 }
 
+std::string EncodeOrigins(std::span<const KeyedOrigin> streams) {
+  wire::StreamOrigins out;
+  for (const auto& [key, origin] : streams) {
+    wire::StreamOrigin& entry = *out.add_streams();
+    entry.set_stream(key);
+    entry.set_service(origin.service.value);
+    entry.set_software_version(origin.software_version);
+  }
+  return out.SerializeAsString();
+}
+
+std::optional<std::vector<KeyedOrigin>> DecodeOrigins(std::string_view bytes) {
+  wire::StreamOrigins in;
+  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return std::nullopt;
+  }
+  std::vector<KeyedOrigin> streams;
+  for (const wire::StreamOrigin& entry : in.streams()) {
+    streams.push_back(
+        {entry.stream(), {{entry.service()}, entry.software_version()}});
+  }
+  return streams;
+}
+
+std::string EncodeOriginReport(const StreamOriginReport& report) {
+  wire::StreamOriginReport out;
+  if (report.origin) {
+    out.mutable_origin()->set_service(report.origin->service.value);
+    out.mutable_origin()->set_software_version(report.origin->software_version);
+  }
+  for (const std::string& version : report.recent_versions) {
+    out.add_recent_versions(version);
+  }
+  return out.SerializeAsString();
+}
+
+std::optional<StreamOriginReport> DecodeOriginReport(std::string_view bytes) {
+  wire::StreamOriginReport in;
+  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return std::nullopt;
+  }
+  StreamOriginReport report;
+  if (in.has_origin()) {
+    report.origin =
+        StreamOrigin{{in.origin().service()}, in.origin().software_version()};
+  }
+  report.recent_versions.insert(in.recent_versions().begin(),
+                                in.recent_versions().end());
+  return report;
+}
+
 }  // namespace pomeloring
--- a/src/gateway/peer_codec.h
+++ b/src/gateway/peer_codec.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "routing/peer_digest.h"
+#include "routing/stream_origins.h"
 #include "routing/text_delta.h"
 
 namespace pomeloring {
@@ -32,12 +33,24 @@
   std::vector<StoredUpstream> upstreams;
 };
 
+// What an instance knows of the origin of one stream.
+struct StreamOriginReport {
+  std::optional<StreamOrigin> origin;
+  std::set<std::string> recent_versions;  // Of the service asked for.
+};
+
 std::string EncodeDigest(const PeerDigest& digest);
 // Returns nothing for malformed bytes.
 std::optional<PeerDigest> DecodeDigest(std::string_view bytes);
 std::string EncodeStoreUpdate(const StoreUpdate& update);
 // Returns nothing for malformed bytes.
 std::optional<StoreUpdate> DecodeStoreUpdate(std::string_view bytes);
+std::string EncodeOrigins(std::span<const KeyedOrigin> streams);
+// Returns nothing for malformed bytes.
+std::optional<std::vector<KeyedOrigin>> DecodeOrigins(std::string_view bytes);
+std::string EncodeOriginReport(const StreamOriginReport& report);
+// Returns nothing for malformed bytes.
+std::optional<StreamOriginReport> DecodeOriginReport(std::string_view bytes);
 
 }  // namespace pomeloring
 
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -28,6 +28,7 @@
 // The first byte of a datagram is its type.
 constexpr char kMembershipTag = 'M';
 constexpr char kDigestTag = 'D';
+constexpr char kOriginsTag = 'S';
 constexpr size_t kMaxDatagramBytes = size_t{64} * 1024;
 // A longer interval adds to the age of the loads that peers see; each wake-up
 // costs CPU time.
@@ -41,6 +42,17 @@
 // Without a byte; the state may take any time to transfer.
 constexpr milliseconds kFetchTimeout{600};
 constexpr std::string_view kFetchPath = "/v1/peer/state";
+constexpr std::string_view kOriginPath = "/v1/peer/stream";
+constexpr std::string_view kStreamParameter = "stream";
+constexpr std::string_view kServiceParameter = "service";
+// Instances that hold the origin of a stream. More are asked for it than hold
+// it: views of who is alive differ for a moment, most of all after a failure.
+constexpr size_t kHolders = 3;
+constexpr size_t kAskedHolders = 5;
+// A caller waits for it. Peers reply within milliseconds.
+constexpr milliseconds kAskTimeout{250};
+// Limits the size of a datagram.
+constexpr size_t kMaxOriginsPerDatagram = 100;
 // Parameters of its query: the requester's configuration (its version, and the
 // hash of its text) and registrations, and whether it asks for a configuration
 // only.
@@ -77,6 +89,15 @@
   return number;
 }
 
+std::string QueryText(std::string_view target, std::string_view name) {
+  const size_t at = target.find(fmt::format("{}=", name));
+  if (at == std::string_view::npos) {
+    return {};
+  }
+  const std::string_view text = target.substr(at + name.size() + 1);
+  return std::string(text.substr(0, text.find('&')));
+}
+
 std::string FailureReason(const HttpResult& result) {
   if (const auto* response = std::get_if<HttpResponseMessage>(&result)) {
     return fmt::format("status {}", response->result_int());
@@ -296,6 +317,10 @@
     if (m_context.on_tick) {
       m_context.on_tick();
     }
+    if (const auto streams = m_context.router.TakeOriginsToSend();
+        !streams.empty()) {
+      SendOrigins(streams);
+    }
     SendDigests(now);
     error_code ignored;
     timer.expires_after(kTickInterval);
@@ -320,6 +345,10 @@
         std::string_view(buffer).substr(1, size - 1);
     if (buffer[0] == kDigestTag) {
       HandleDigestBytes(payload);
+    } else if (buffer[0] == kOriginsTag) {
+      if (const auto streams = DecodeOrigins(payload)) {
+        m_context.router.ApplyOrigins(*streams, Now());
+      }
     } else if (const auto message = DecodeDatagram(payload);
                buffer[0] == kMembershipTag && message) {
       const std::string address =
@@ -335,6 +364,97 @@
   return found == m_members.members.end() ? nullptr : &found->second.member;
 }
 
+std::vector<InstanceName> PeerExchange::LivePeerNames() const {
+  std::vector<InstanceName> names;
+  for (const auto& [name, known] : m_members.members) {
+    if (known.member.status == MemberStatus::kAlive && !known.member.leaving &&
+        name != m_members.self.name) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+void PeerExchange::SendOrigins(std::span<const KeyedOrigin> streams) {
+  const std::vector<InstanceName> peers = LivePeerNames();
+  std::map<InstanceName, std::vector<KeyedOrigin>> by_holder;
+  for (const KeyedOrigin& stream : streams) {
+    for (InstanceName& holder : ChooseHolders(stream.first, peers, kHolders)) {
+      by_holder[std::move(holder)].push_back(stream);
+    }
+  }
+  for (const auto& [holder, held] : by_holder) {
+    const Member* member = FindMember(holder);
+    for (size_t at = 0; at < held.size(); at += kMaxOriginsPerDatagram) {
+      const auto piece = std::span(held).subspan(
+          at, std::min(kMaxOriginsPerDatagram, held.size() - at));
+      SendTo(member->probe_address,
+             fmt::format("{}{}", kOriginsTag, EncodeOrigins(piece)));
+    }
+  }
+}
+
+// Of one question to several holders.
+struct PeerExchange::OriginInquiry {
+  OriginInquiry(asio::io_context& context, std::string asked, size_t holders)
+      : answered(context, kAskTimeout),
+        target(std::move(asked)),
+        unanswered(holders) {}
+
+  asio::steady_timer answered;  // Cancelled when no more answers are needed.
+  const std::string target;
+  size_t unanswered = 0;
+  StreamOriginReport report;
+};
+
+asio::awaitable<StreamOriginReport> PeerExchange::AskForOrigin(
+    StreamKey key,
+    ServiceName service) {
+  const auto holders = ChooseHolders(key, LivePeerNames(), kAskedHolders);
+  const auto inquiry = std::make_shared<OriginInquiry>(
+      m_context.context,
+      fmt::format("{}?{}={}&{}={}", kOriginPath, kStreamParameter, key,
+                  kServiceParameter, service.value),
+      holders.size());
+  for (const InstanceName& holder : holders) {
+    asio::co_spawn(m_context.context,
+                   AskHolder(FindMember(holder)->link_address, inquiry),
+                   asio::detached);
+  }
+  if (!holders.empty()) {
+    error_code ignored;
+    co_await inquiry->answered.async_wait(Await(ignored));
+  }
+  co_return inquiry->report;
+}
+
+asio::awaitable<void> PeerExchange::AskHolder(
+    std::string address,
+    std::shared_ptr<OriginInquiry> inquiry) {
+  HttpRequestMessage request{http::verb::get, inquiry->target, 11};
+  request.set(http::field::host, address);
+  const auto result =
+      co_await SendHttpRequest(address, std::move(request), kAskTimeout);
+  const auto* response = std::get_if<HttpResponseMessage>(&result);
+  if (response != nullptr && response->result() == http::status::ok) {
+    if (auto report = DecodeOriginReport(response->body())) {
+      inquiry->report.recent_versions.merge(report->recent_versions);
+      if (report->origin) {
+        inquiry->report.origin = std::move(report->origin);
+      }
+    }
+  }
+  if (--inquiry->unanswered == 0 || inquiry->report.origin) {
+    inquiry->answered.cancel();
+  }
+}
+
+StreamOriginReport PeerExchange::ReportOrigin(std::string_view target) const {
+  const StreamOrigins& origins = m_context.router.Origins();
+  return {FindOrigin(origins, QueryNumber(target, kStreamParameter)),
+          RecentVersions(origins, {QueryText(target, kServiceParameter)})};
+}
+
 void PeerExchange::HandleDigestBytes(std::string_view bytes) {
   const auto digest = DecodeDigest(bytes);
   if (!digest || !m_context.router.HandleDigest(*digest, Now())) {
@@ -417,12 +537,18 @@
 asio::awaitable<void> PeerExchange::ServeFetch(HttpExchange& exchange) {
   const std::string_view target = exchange.Request().target();
   HttpReply reply;
-  if (target.substr(0, target.find('?')) != kFetchPath) {
+  reply.content_type = "application/x-protobuf";
+  const std::string_view path = target.substr(0, target.find('?'));
+  if (path == kOriginPath) {
+    reply.body = EncodeOriginReport(ReportOrigin(target));
+    co_await exchange.Respond(std::move(reply));
+    co_return;
+  }
+  if (path != kFetchPath) {
     reply.status = 404;
     co_await exchange.Respond(std::move(reply));
     co_return;
   }
-  reply.content_type = "application/x-protobuf";
   const uint64_t version = QueryNumber(target, kConfigVersionParameter);
   reply.body = EncodeStoreUpdate(
       QueryNumber(target, kConfigOnlyParameter) != 0
@@ -433,8 +559,17 @@
   co_await exchange.Respond(std::move(reply));
 }
 
+// The copies that this instance holds go to the holders that remain.
 void PeerExchange::AdvertiseLeaving() {
   m_leaving = true;
+  const StreamOrigins& origins = m_context.router.Origins();
+  std::set<ServiceName> mixed;
+  for (const auto& [service, versions] : origins.versions) {
+    if (versions.size() > 1) {
+      mixed.insert(service);
+    }
+  }
+  SendOrigins(StreamsOf(origins, mixed, false));
   ProcessOutput(pomeloring::AdvertiseLeaving(m_members, Now()));
   m_last_digest_at = Time{};
   SendDigests(Now());
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -47,6 +47,11 @@
 
   // Sends the next digest without waiting for the idle interval.
   void RequestDigest() { m_digest_requested = true; }
+  // Tells the holders of the streams where they began.
+  void SendOrigins(std::span<const KeyedOrigin> streams);
+  // Asks the holders of a stream of `service`. The report merges their replies.
+  boost::asio::awaitable<StreamOriginReport> AskForOrigin(StreamKey key,
+                                                          ServiceName service);
   void AdvertiseLeaving();
   bool IsLeaving() const { return m_leaving; }
   void SetSeeds(std::vector<std::string> seeds);
@@ -76,6 +81,12 @@
                        const HttpResult& result,
                        Duration elapsed);
   const Member* FindMember(const InstanceName& name) const;
+  std::vector<InstanceName> LivePeerNames() const;
+  struct OriginInquiry;
+  boost::asio::awaitable<void> AskHolder(
+      std::string address,
+      std::shared_ptr<OriginInquiry> inquiry);
+  StreamOriginReport ReportOrigin(std::string_view target) const;
 
   PeerExchangeContext m_context;
   MembershipState m_members;
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -228,7 +228,8 @@
                 upstream.record.id) != request.excluded.end();
   const bool on_trial =
       upstream.health.is_trial && TotalLoad(upstream).running > 0;
-  return !is_excluded && !on_trial && now >= upstream.health.ejected_until;
+  const bool is_healthy = !on_trial && now >= upstream.health.ejected_until;
+  return !is_excluded && (is_healthy || request.may_use_ejected);
 }
 
 }  // namespace
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -28,6 +28,9 @@
   // Whether a higher priority of the service was refused recently.
   bool higher_priority_refused = false;
   std::span<const UpstreamName> excluded;
+  // For a stream that only some upstreams can go on with: an ejected one is
+  // better than none.
+  bool may_use_ejected = false;
 };
 
 struct Placement {
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -39,7 +39,8 @@
 }
 
 bool IsSameProcess(const UpstreamRecord& a, const UpstreamRecord& b) {
-  return a.started_at_ms == b.started_at_ms && a.address == b.address;
+  return a.started_at_ms == b.started_at_ms && a.address == b.address &&
+         a.software_version == b.software_version;
 }
 
 }  // namespace
@@ -175,6 +176,7 @@
     });
   }
   m_has_pending_changes |= !changed.empty();
+  UpdateVersions(now);
 }
 
 void Router::UpdateStoreStatus(bool is_available, Time now) {
@@ -266,6 +268,11 @@
     return unplaced;
   }
   auto candidates = CollectCandidates(request.service, now);
+  if (request.software_version) {
+    std::erase_if(candidates, [&](const UpstreamState* candidate) {
+      return candidate->record.software_version != *request.software_version;
+    });
+  }
   if (prompt.verdict == PromptVerdict::kSuspect) {
     KeepOneFor(request.parts[prompt.part_index].id, request.excluded,
                candidates);
@@ -273,16 +280,20 @@
   for (UpstreamState* candidate : candidates) {
     DecayPrefillLoads(*candidate, now);
   }
-  const PlacementRequest placement_request{
-      request.route,
-      &service->second,
-      m_settings.failure_domain,
-      request.prompt_tokens,
-      request.parts,
-      request.waited,
-      request.time_left,
-      WasHigherPriorityRefused(request, now),
-      request.excluded};
+  PlacementRequest placement_request{request.route,
+                                     &service->second,
+                                     m_settings.failure_domain,
+                                     request.prompt_tokens,
+                                     request.parts,
+                                     request.waited,
+                                     request.time_left,
+                                     WasHigherPriorityRefused(request, now),
+                                     request.excluded};
+  placement_request.may_use_ejected =
+      request.software_version &&
+      std::none_of(candidates.begin(), candidates.end(), [&](const auto* each) {
+        return IsUsable(*each, placement_request, now);
+      });
   const uint64_t random = NextRandom(m_random);
   auto result =
       m_settings.placement == PlacementPolicy::kLowestCost
@@ -401,6 +412,43 @@
   }
 }
 
+// --- Streams -----------------------------------------------------------------
+
+bool Router::RecordStreamBegin(StreamKey key,
+                               const PlacedAttempt& attempt,
+                               Time now) {
+  RecordOrigin(
+      m_origins,
+      {key, {attempt.service, attempt.upstream->record.software_version}}, true,
+      now);
+  return RecentVersions(m_origins, attempt.service).size() > 1;
+}
+
+void Router::ApplyOrigins(std::span<const KeyedOrigin> streams, Time now) {
+  for (const KeyedOrigin& stream : streams) {
+    RecordOrigin(m_origins, stream, false, now);
+  }
+}
+
+std::vector<KeyedOrigin> Router::TakeOriginsToSend() {
+  return std::exchange(m_origins_to_send, {});
+}
+
+void Router::UpdateVersions(Time now) {
+  std::vector<StreamOrigin> registered;
+  for (const auto& [name, state] : m_states) {
+    registered.push_back(
+        {state->record.service, state->record.software_version});
+  }
+  const auto mixed = RecordVersions(m_origins, registered, now);
+  if (!mixed.empty()) {
+    const auto streams = StreamsOf(m_origins, mixed, true);
+    m_origins_to_send.insert(m_origins_to_send.end(), streams.begin(),
+                             streams.end());
+  }
+  ExpireOrigins(m_origins, now);
+}
+
 // --- Exits -------------------------------------------------------------------
 
 // An upstream that leaves exits as planned, whatever runs there.
@@ -504,6 +552,12 @@
 
 bool Router::MaySend(const PlacedAttempt& attempt, Time now) const {
   const Backpressure& asked = CurrentState(attempt).backpressure;
+  const UpstreamRecord& placed = attempt.upstream->record;
+  const auto current = m_states.find(placed.id);
+  if (current != m_states.end() &&
+      current->second->record.software_version != placed.software_version) {
+    return false;  // It has come back under its name as another version.
+  }
   return !asked.is_leaving && now >= asked.paused_until &&
          !IsQuarantined(attempt, now);
 }
@@ -534,6 +588,7 @@
     }
   }
   DivideLimits(now);
+  UpdateVersions(now);
   ProcessExits(now);
   AddQuarantines(TickQuarantine(m_quarantine, now));
   std::erase_if(m_departed, [&](const auto& entry) {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -20,6 +20,7 @@
 #include "routing/placement.h"
 #include "routing/routing_config.h"
 #include "routing/shared_retry_budget.h"
+#include "routing/stream_origins.h"
 #include "routing/upstream_state.h"
 #include "routing/upstream_table.h"
 
@@ -71,6 +72,8 @@
   Duration waited{0};
   Duration time_left{0};
   std::vector<UpstreamName> excluded;
+  // For a stream that goes on: only upstreams of this version may serve it.
+  std::optional<std::string> software_version;
 };
 
 using StartAttemptResult =
@@ -157,6 +160,17 @@
     attempt.upstream->health.last_byte_at = now;
   }
 
+  // Streams.
+  // Records where the stream of an attempt has begun. Returns whether peers
+  // must be told, since more than one version of the service serves.
+  bool RecordStreamBegin(StreamKey key, const PlacedAttempt& attempt, Time now);
+  void RecordStreamEnd(StreamKey key) { ForgetStream(m_origins, key); }
+  void ApplyOrigins(std::span<const KeyedOrigin> streams, Time now);
+  const StreamOrigins& Origins() const { return m_origins; }
+  // Returns the streams that peers have to be told of since the last call:
+  // those that began here before another version of their service came.
+  std::vector<KeyedOrigin> TakeOriginsToSend();
+
   // Peers.
   // In a large fleet some instances relay the digests of others; see
   // digest_relay.h.
@@ -225,6 +239,7 @@
                              uint64_t events_before,
                              Time now);
   void ProcessExits(Time now);
+  void UpdateVersions(Time now);
   void AddQuarantines(const std::vector<PartId>& parts);
   // Updates `m_states` and `m_by_service` from the records of `changed`.
   void SyncStates(std::span<const UpstreamName> changed, Time now);
@@ -263,6 +278,8 @@
   ExitWatch m_exits;
   PromptQuarantine m_quarantine;
   std::vector<PartId> m_new_quarantines;
+  StreamOrigins m_origins;
+  std::vector<KeyedOrigin> m_origins_to_send;
   // Time of the last refusal for lack of capacity, by service and priority.
   std::map<ServiceName, std::map<uint32_t, Time>> m_last_refusals;
   std::map<ServiceName, EngineEstimate> m_engines;
--- /dev/null
+++ b/src/routing/stream_origins.cc
@@ -0,0 +1,132 @@
+#include "routing/stream_origins.h"
+
+#include <algorithm>
+
+namespace pomeloring {
+namespace {
+
+// Longer than callers wait for a stream with all its interruptions.
+constexpr Duration kStreamRetention = seconds(60);
+// Limits memory to some 10 MB.
+constexpr size_t kMaxStreams = 65'536;
+
+}  // namespace
+
+StreamKey StreamKeyOf(std::string_view request_id) {
+  return StableHash(request_id);
+}
+
+// What this instance has observed is not replaced by what peers say.
+void RecordOrigin(StreamOrigins& origins,
+                  const KeyedOrigin& stream,
+                  bool began_here,
+                  Time now) {
+  const auto& [key, origin] = stream;
+  const auto [entry, is_new] =
+      origins.streams.try_emplace(key, StreamOrigins::Stream{origin, now});
+  if (!is_new && (began_here || !entry->second.began_here)) {
+    entry->second.origin = origin;
+  }
+  entry->second.began_here |= began_here;
+  if (is_new) {
+    origins.by_age.emplace_back(now, key);
+  }
+  if (origins.by_age.size() > kMaxStreams) {
+    origins.streams.erase(origins.by_age.front().second);
+    origins.by_age.pop_front();
+  }
+}
+
+std::optional<StreamOrigin> FindOrigin(const StreamOrigins& origins,
+                                       StreamKey key) {
+  const auto found = origins.streams.find(key);
+  return found == origins.streams.end() ? std::nullopt
+                                        : std::optional(found->second.origin);
+}
+
+void ForgetStream(StreamOrigins& origins, StreamKey key) {
+  origins.streams.erase(key);
+}
+
+std::set<ServiceName> RecordVersions(StreamOrigins& origins,
+                                     std::span<const StreamOrigin> registered,
+                                     Time now) {
+  if (!origins.tracking_since) {
+    origins.tracking_since = now;
+  }
+  std::set<ServiceName> mixed;
+  for (const StreamOrigin& upstream : registered) {
+    auto& versions = origins.versions[upstream.service];
+    const bool is_new =
+        versions.insert_or_assign(upstream.software_version, now).second;
+    if (is_new && versions.size() == 2) {
+      mixed.insert(upstream.service);
+    }
+  }
+  return mixed;
+}
+
+std::set<std::string> RecentVersions(const StreamOrigins& origins,
+                                     const ServiceName& service) {
+  std::set<std::string> recent;
+  if (const auto found = origins.versions.find(service);
+      found != origins.versions.end()) {
+    for (const auto& [version, last_seen] : found->second) {
+      recent.insert(version);
+    }
+  }
+  return recent;
+}
+
+bool KnowsAllRecentVersions(const StreamOrigins& origins, Time now) {
+  return origins.tracking_since &&
+         now - *origins.tracking_since >= kStreamRetention;
+}
+
+std::vector<KeyedOrigin> StreamsOf(const StreamOrigins& origins,
+                                   const std::set<ServiceName>& services,
+                                   bool began_here_only) {
+  std::vector<KeyedOrigin> streams;
+  for (const auto& [key, stream] : origins.streams) {
+    if (services.contains(stream.origin.service) &&
+        (stream.began_here || !began_here_only)) {
+      streams.emplace_back(key, stream.origin);
+    }
+  }
+  return streams;
+}
+
+std::vector<InstanceName> ChooseHolders(StreamKey key,
+                                        std::span<const InstanceName> instances,
+                                        size_t count) {
+  std::vector<std::pair<uint64_t, const InstanceName*>> weighted;
+  for (const InstanceName& instance : instances) {
+    weighted.emplace_back(StableHash(instance.value, key), &instance);
+  }
+  count = std::min(count, weighted.size());
+  std::partial_sort(
+      weighted.begin(), weighted.begin() + static_cast<long>(count),
+      weighted.end(), [](const auto& a, const auto& b) {
+        return std::pair(a.first, *a.second) > std::pair(b.first, *b.second);
+      });
+  std::vector<InstanceName> holders;
+  for (size_t i = 0; i < count; ++i) {
+    holders.push_back(*weighted[i].second);
+  }
+  return holders;
+}
+
+void ExpireOrigins(StreamOrigins& origins, Time now) {
+  while (!origins.by_age.empty() &&
+         now - origins.by_age.front().first >= kStreamRetention) {
+    origins.streams.erase(origins.by_age.front().second);
+    origins.by_age.pop_front();
+  }
+  for (auto& [service, versions] : origins.versions) {
+    std::erase_if(versions, [&](const auto& version) {
+      return now - version.second >= kStreamRetention;
+    });
+  }
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/routing/stream_origins.h
@@ -0,0 +1,89 @@
+// Defines StreamOrigins: at which software version the streams began that
+// callers may take up again, at any instance.
+
+#ifndef POMELORING_ROUTING_STREAM_ORIGINS_H_
+#define POMELORING_ROUTING_STREAM_ORIGINS_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/ids.h"
+
+namespace pomeloring {
+
+// Identifies a stream: a hash of the id of the caller's attempt that brought
+// its first event.
+using StreamKey = uint64_t;
+
+StreamKey StreamKeyOf(std::string_view request_id);
+
+struct StreamOrigin {
+  ServiceName service;
+  std::string software_version;
+  bool operator==(const StreamOrigin&) const = default;
+};
+
+using KeyedOrigin = std::pair<StreamKey, StreamOrigin>;
+
+struct StreamOrigins {
+  struct Stream {
+    StreamOrigin origin;
+    Time recorded_at;
+    bool began_here = false;
+  };
+  // Limited in number and age; see the source.
+  std::unordered_map<StreamKey, Stream> streams;
+  std::deque<std::pair<Time, StreamKey>> by_age;
+  // When each version of a service was last registered.
+  std::map<ServiceName, std::map<std::string, Time>> versions;
+  // Since when `versions` is kept.
+  std::optional<Time> tracking_since;
+};
+
+// Records where a stream began, as observed here or told by a peer.
+void RecordOrigin(StreamOrigins& origins,
+                  const KeyedOrigin& stream,
+                  bool began_here,
+                  Time now);
+std::optional<StreamOrigin> FindOrigin(const StreamOrigins& origins,
+                                       StreamKey key);
+// Forgets a stream that is complete.
+void ForgetStream(StreamOrigins& origins, StreamKey key);
+
+// Records the versions that are registered now. Returns the services of which
+// there are several for the first time: their streams must be told to peers.
+std::set<ServiceName> RecordVersions(StreamOrigins& origins,
+                                     std::span<const StreamOrigin> registered,
+                                     Time now);
+
+// The versions of a service that streams still in progress may have begun at.
+std::set<std::string> RecentVersions(const StreamOrigins& origins,
+                                     const ServiceName& service);
+
+// Whether RecentVersions() is known from before any such stream began.
+bool KnowsAllRecentVersions(const StreamOrigins& origins, Time now);
+
+// Returns the streams that began here, or all, at one of `services`.
+std::vector<KeyedOrigin> StreamsOf(const StreamOrigins& origins,
+                                   const std::set<ServiceName>& services,
+                                   bool began_here_only);
+
+// Returns the `count` instances that hold a copy of the stream's origin, the
+// most preferred first. The choice changes little when instances come or go.
+std::vector<InstanceName> ChooseHolders(StreamKey key,
+                                        std::span<const InstanceName> instances,
+                                        size_t count);
+
+// Drops what no caller will ask for any more.
+void ExpireOrigins(StreamOrigins& origins, Time now);
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_ROUTING_STREAM_ORIGINS_H_
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -16,6 +16,7 @@
       hash = StableHash(record.address, hash);
       hash = StableHash(record.draining ? "draining" : "ready", hash);
       hash = StableHash(std::to_string(record.started_at_ms), hash);
+      hash = StableHash(record.software_version, hash);
     }
   }
   return hash;
