Limit what an upstream may send without end

Bytes that are no reply may come until the connection is closed. A chunk's extension had no limit at all: 128 MB were read and kept (256 MB is the end of the test), with the whole memory of an instance at its mercy; a body without an end took 64 MB; interim replies were read until the route's timeout, and an event that never closes up to 64 MB.

Each form has a limit by name now, in the log with the request and the upstream: 128 KB of bytes not yet parsed (also of callers' connections to a node, of peers and of the store, whose buffers had no limit either), 8 MB for a reply kept whole, 256 KB for one that is discarded and for an event, 8 interim replies. The connection is closed; an event without end breaks the attempt, and a resumable stream goes on elsewhere. Small chunks are parsed together: a body in chunks of 16 bytes took more than half a second for 8 MB.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -436,6 +436,9 @@
   }
   m_last_reply = m_upstream_attempt->Reply();
   m_upstream_attempt = nullptr;
+  if (std::exchange(m_event_too_long, false)) {
+    end = AttemptEnd::kBroken;
+  }
   // A stream can be resumed by another stream only: after any other reply, even
   // a complete one, it stays truncated.
   if (m_stream_started && end == AttemptEnd::kWhole &&
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -99,6 +99,7 @@
   bool m_is_suspected = false;
   bool m_stream_started = false;
   bool m_stream_broken = false;
+  bool m_event_too_long = false;  // In the attempt in progress.
   // Where the stream began, once it has an event; it goes on only there.
   std::optional<StreamOrigin> m_origin;
   std::optional<EventSplitter> m_event_splitter;
--- a/src/gateway/exchange_replies.cc
+++ b/src/gateway/exchange_replies.cc
@@ -48,6 +48,16 @@
     m_stream_broken = true;
     co_return false;
   }
+  if (events.too_long) {
+    m_event_too_long = true;
+    CountEvent(m_gateway.metrics, "oversized_replies");
+    m_gateway.log.Write(
+        LogLevel::kWarning, "upstream-limit-exceeded",
+        {{"request", m_metadata.id},
+         {"upstream", m_placed_attempt->upstream->record.id.value},
+         {"limit", "event"}});
+    co_return false;
+  }
   if (events.bytes.empty()) {
     co_return true;
   }
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -17,7 +17,13 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr uint64_t kMaxReplyBytes = uint64_t{64} * 1024 * 1024;
+// Of all events of a stream.
+constexpr uint64_t kMaxStreamBytes = uint64_t{64} * 1024 * 1024;
+// Of a reply that is kept whole until it is complete.
+constexpr size_t kMaxWholeReplyBytes = size_t{8} * 1024 * 1024;
+// Of a reply to another request, which is read only to be discarded.
+constexpr size_t kMaxForeignReplyBytes = size_t{256} * 1024;
+constexpr int kMaxInterimReplies = 8;
 // Replies to earlier requests that are skipped before the expected one.
 constexpr int kMaxForeignReplies = 3;
 // Extends the read timeout while the upstream sends on other connections, since
@@ -160,19 +166,25 @@
 // requests are discarded.
 asio::awaitable<bool> UpstreamAttempt::ReadHead(
     std::unique_ptr<Parser>& parser) {
+  int interim_replies = 0;
   for (int foreign_replies = 0; foreign_replies <= kMaxForeignReplies;) {
     parser = std::make_unique<Parser>();
-    parser->body_limit(kMaxReplyBytes);
+    parser->body_limit(kMaxStreamBytes);
     parser->skip(m_request.is_head);
     error_code error;
     co_await http::async_read_header(m_connection->socket, m_connection->buffer,
                                      *parser, Await(error));
     if (error) {
+      LogIfTooLarge(error);
       co_return false;
     }
     RecordByte();
     const auto& head = parser->get();
     if (head.result_int() < kFirstFinalStatus) {
+      if (++interim_replies > kMaxInterimReplies) {
+        LogExceeded("interim-replies");
+        co_return false;
+      }
       continue;
     }
     const ReplyMetadata metadata =
@@ -187,15 +199,50 @@
     ++foreign_replies;
     m_saw_foreign_reply = true;
     CountEvent(m_gateway.metrics, "foreign_replies");
-    co_await http::async_read(m_connection->socket, m_connection->buffer,
-                              *parser, Await(error));
-    if (error) {
+    if (!co_await ReadWholeBody(*parser, kMaxForeignReplyBytes)) {
       co_return false;
     }
   }
   co_return false;
 }
 
+void UpstreamAttempt::LogIfTooLarge(error_code error) {
+  if (error == http::error::header_limit) {
+    LogExceeded("reply-head");
+  } else if (error == http::error::buffer_overflow) {
+    LogExceeded("unparsed-bytes");
+  } else if (error == http::error::body_limit) {
+    LogExceeded("reply-body");
+  }
+}
+
+void UpstreamAttempt::LogExceeded(std::string_view limit) {
+  CountEvent(m_gateway.metrics, "oversized_replies");
+  m_gateway.log.Write(LogLevel::kWarning, "upstream-limit-exceeded",
+                      {{"request", m_request.id},
+                       {"upstream", m_attempt->upstream->record.id.value},
+                       {"limit", std::string(limit)}});
+}
+
+asio::awaitable<bool> UpstreamAttempt::ReadWholeBody(Parser& parser,
+                                                     size_t max_bytes) {
+  parser.eager(true);  // Parses many small chunks at once.
+  while (!parser.is_done()) {
+    error_code error;
+    co_await http::async_read_some(m_connection->socket, m_connection->buffer,
+                                   parser, Await(error));
+    if (error) {
+      LogIfTooLarge(error);
+      co_return false;
+    }
+    if (parser.get().body().size() > max_bytes) {
+      LogExceeded("reply-body");
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
 asio::awaitable<AttemptEnd> UpstreamAttempt::Receive(const StreamSink& sink) {
   std::unique_ptr<Parser> parser;
   if (!co_await ReadHead(parser)) {
@@ -271,12 +318,8 @@
 }
 
 asio::awaitable<AttemptEnd> UpstreamAttempt::ReadBody(Parser& parser) {
-  error_code error;
-  if (!parser.is_done()) {
-    co_await http::async_read(m_connection->socket, m_connection->buffer,
-                              parser, Await(error));
-  }
-  if (error || m_stopped) {
+  const bool is_whole = co_await ReadWholeBody(parser, kMaxWholeReplyBytes);
+  if (!is_whole || m_stopped) {
     ReleaseConnection(false);
     co_return FailureEnd();
   }
@@ -314,6 +357,7 @@
     co_await http::async_read_some(m_connection->socket, m_connection->buffer,
                                    parser, Await(error));
     if (error && parser.get().body().empty()) {
+      LogIfTooLarge(error);
       ReleaseConnection(false);
       co_return FailureEnd();
     }
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -75,12 +75,17 @@
   void Send();
   boost::asio::awaitable<AttemptEnd> Receive(const StreamSink& sink);
   boost::asio::awaitable<bool> ReadHead(std::unique_ptr<Parser>& parser);
+  // Reads up to `max_bytes` of a body. Returns whether it is complete.
+  boost::asio::awaitable<bool> ReadWholeBody(Parser& parser, size_t max_bytes);
   boost::asio::awaitable<AttemptEnd> ReadBody(Parser& parser);
   boost::asio::awaitable<AttemptEnd> ForwardStream(Parser& parser,
                                                    const StreamSink& sink);
   // Passes on what the reply says about its upstream.
   void RecordSignals(const ReplyMetadata& metadata);
   AttemptEnd FailureEnd() const;
+  // Logs which limit a reply has exceeded, if that is why reading failed.
+  void LogIfTooLarge(boost::system::error_code error);
+  void LogExceeded(std::string_view limit);
   void ArmReadTimer(Duration limit);
   void RecordByte();
   void ReleaseConnection(bool may_reuse);
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -15,11 +15,13 @@
 #include <variant>
 #include <vector>
 
+#include "link/http_client.h"
+
 namespace pomeloring {
 
 struct UpstreamConnection {
   explicit UpstreamConnection(const boost::asio::any_io_executor& executor)
-      : socket(executor) {}
+      : socket(executor), buffer(kMaxUnparsedBytes) {}
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   std::string address;
--- a/src/link/http_client.h
+++ b/src/link/http_client.h
@@ -25,9 +25,13 @@
 using HttpResponseMessage =
     boost::beast::http::response<boost::beast::http::string_body>;
 
+// Limits the bytes of a message that have been received and not yet parsed. A
+// header, and the head of a chunk, must fit.
+inline constexpr size_t kMaxUnparsedBytes = size_t{128} * 1024;
+
 struct HttpConnection {
   explicit HttpConnection(const boost::asio::any_io_executor& executor)
-      : stream(executor) {}
+      : stream(executor), buffer(kMaxUnparsedBytes) {}
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer;
   bool is_reused = false;
--- a/src/link/http_server.cc
+++ b/src/link/http_server.cc
@@ -13,6 +13,7 @@
 #include <set>
 
 #include "link/address.h"
+#include "link/http_client.h"
 
 namespace pomeloring {
 namespace {
@@ -30,7 +31,8 @@
 }
 
 struct Connection {
-  explicit Connection(tcp::socket socket) : stream(std::move(socket)) {}
+  explicit Connection(tcp::socket socket)
+      : stream(std::move(socket)), buffer(kMaxUnparsedBytes) {}
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   std::atomic<bool> is_idle{true};
--- a/src/routing/event_splitter.cc
+++ b/src/routing/event_splitter.cc
@@ -62,6 +62,7 @@
   }
   out.bytes = m_partial.substr(0, consumed);
   m_partial.erase(0, consumed);
+  out.too_long = m_partial.size() > kMaxEventBytes;
   return out;
 }
 
--- a/src/routing/event_splitter.h
+++ b/src/routing/event_splitter.h
@@ -12,11 +12,14 @@
 
 namespace pomeloring {
 
+inline constexpr size_t kMaxEventBytes = size_t{256} * 1024;
+
 struct CompleteEvents {
   std::string bytes;   // As received.
   uint32_t count = 0;  // Number of events with an id.
   std::optional<uint64_t> last_id;
   bool out_of_order = false;  // An id was not greater than the previous one.
+  bool too_long = false;      // An event does not end within kMaxEventBytes.
 };
 
 class EventSplitter {
--- a/test/gateway/prompt_part_that_ends_engines_test.cc
+++ b/test/gateway/prompt_part_that_ends_engines_test.cc
@@ -28,10 +28,10 @@
 EngineReply ReplyTo(const std::string& head, std::atomic<int>& fatal_requests) {
   if (head.find("dead01") != std::string::npos) {
     ++fatal_requests;
-    return {StreamHead(), true};
+    return {.bytes = StreamHead(), .exits = true};
   }
-  return {StreamHead() + StreamEvent(1) + StreamEvent(2) + StreamEvent(3) +
-          kStreamEnd};
+  return {.bytes = StreamHead() + StreamEvent(1) + StreamEvent(2) +
+                   StreamEvent(3) + kStreamEnd};
 }
 
 TEST_CASE("A prompt part does not end engine after engine") {
--- a/test/gateway/stream_stays_at_its_software_version_test.cc
+++ b/test/gateway/stream_stays_at_its_software_version_test.cc
@@ -26,10 +26,12 @@
         const std::lock_guard lock(mutex);
         arrivals.push_back(version);
         if (head.find("Resumes: r1") != std::string::npos) {
-          return EngineReply{StreamHead() + StreamEvent(2) + kStreamEnd};
+          return EngineReply{.bytes =
+                                 StreamHead() + StreamEvent(2) + kStreamEnd};
         }
         const bool is_resumed = head.find("Last-Event-Id") != std::string::npos;
-        return EngineReply{StreamHead() + StreamEvent(is_resumed ? 2 : 1)};
+        return EngineReply{.bytes =
+                               StreamHead() + StreamEvent(is_resumed ? 2 : 1)};
       });
       upstreams.push_back({fmt::format("e{}", upstreams.size()), "engines",
                            engines.back().Address(), version});
--- a/test/support/loopback_engine.cc
+++ b/test/support/loopback_engine.cc
@@ -11,6 +11,9 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+// Ends a test in which the peer reads on and on.
+constexpr size_t kMaxEndlessBytes = size_t{256} * 1024 * 1024;
+
 LoopbackEngine::LoopbackEngine(
     std::function<EngineReply(const std::string&)> reply_to)
     : m_reply_to(std::move(reply_to)),
@@ -52,6 +55,10 @@
   }
   const EngineReply reply = m_reply_to(request);
   asio::write(socket, asio::buffer(reply.bytes), error);
+  while (!reply.endless.empty() && !error && !m_is_stopping &&
+         m_endless_bytes < kMaxEndlessBytes) {
+    m_endless_bytes += asio::write(socket, asio::buffer(reply.endless), error);
+  }
   return !reply.exits;
 }
 
--- a/test/support/loopback_engine.h
+++ b/test/support/loopback_engine.h
@@ -15,6 +15,8 @@
 
 struct EngineReply {
   std::string bytes;  // The connection is closed after them.
+  // Sent over and over after `bytes`, until the peer closes the connection.
+  std::string endless;
   // The engine exits: the connection is reset and later ones are refused.
   bool exits = false;
 };
@@ -29,6 +31,8 @@
   LoopbackEngine& operator=(const LoopbackEngine&) = delete;
 
   const std::string& Address() const { return m_address; }
+  // Of `endless`, over all connections.
+  size_t EndlessBytesSent() const { return m_endless_bytes; }
 
  private:
   void Serve();
@@ -39,6 +43,7 @@
   boost::asio::io_context m_context;
   boost::asio::ip::tcp::acceptor m_acceptor;
   const std::string m_address;
+  std::atomic<size_t> m_endless_bytes{0};
   std::atomic<bool> m_is_stopping{false};
   std::thread m_thread;
 };
