--- a/test/soak/oracle.h
+++ b/test/soak/oracle.h
@@ -66,6 +66,8 @@
   ProcessFault fault = ProcessFault::kKill;
   Instant begin;
   Instant end;  // The process has recovered.
+  // When the next process of the gateway was started, after a planned stop.
+  std::optional<Instant> restarted_at;
 };
 
 // What a reply of an upstream asked of the gateway that had sent the request.
--- a/test/soak/soak_site.cc
+++ b/test/soak/soak_site.cc
@@ -407,6 +407,7 @@
              code ? fmt::format("exit code {}", *code) : "still runs"});
       }
       co_await Sleep(length_ms);
+      m_oracle.process_events[event].restarted_at = Clock::now();
       StartGateway(number);
       break;
     }
