--- a/src/gateway/wire_codec.h
+++ b/src/gateway/wire_codec.h
@@ -29,7 +29,8 @@
   std::vector<PromptPart> prompt_parts;
   // The last event that the client has received of a stream it resumes.
   std::optional<uint64_t> resume_after;
-  // The id of the attempt that brought the first event of that stream, or empty.
+  // The id of the attempt that brought the first event of that stream, or
+  // empty.
   std::string resumes;
 };
 
