Move what a peer is sent of registrations into the routing module

No change of behaviour: UpdateSince() and UpstreamsKnownTo() were parts of StoreFeed and PeerExchange, where only a test with a network could reach them.

--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -484,15 +484,10 @@
   }
   if (router.AreUpstreamsBehind(digest) &&
       !m_fetching.contains(StoreTopic::kUpstreams)) {
-    const UpstreamTable& table = router.Upstreams();
-    // A table that differs but is equally new is fetched whole.
-    const bool is_newer = digest.upstreams_as_of > table.as_of;
-    const uint64_t known =
-        is_newer && table.is_complete ? table.as_of.value : 0;
     start(StoreTopic::kUpstreams,
           fmt::format("{}={}&{}={}", kConfigVersionParameter,
                       std::numeric_limits<uint64_t>::max(), kAsOfParameter,
-                      known));
+                      router.UpstreamsKnownTo(digest).value));
   }
 }
 
--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -288,16 +288,14 @@
 StoreUpdate StoreFeed::UpdateSince(uint64_t config_version,
                                    LogOffset upstreams_as_of) const {
   StoreUpdate update = ConfigSince(config_version);
-  const UpstreamTable& table = m_context.router.Upstreams();
-  update.upstreams_as_of = table.as_of;
-  update.is_whole_list = upstreams_as_of.value == 0 && table.is_complete;
-  for (const auto& [name, entry] : table.entries) {
-    if (entry.offset < upstreams_as_of) {
-      continue;
-    }
-    StoredUpstream stored{name, entry.offset, std::nullopt};
-    if (entry.record) {
-      stored.value = entry.text;
+  const UpstreamUpdate upstreams =
+      pomeloring::UpdateSince(m_context.router.Upstreams(), upstreams_as_of);
+  update.upstreams_as_of = upstreams.as_of;
+  update.is_whole_list = upstreams.is_whole_list;
+  for (const UpstreamChange& change : upstreams.changes) {
+    StoredUpstream stored{change.id, change.offset, std::nullopt};
+    if (change.record) {
+      stored.value = change.text;
     }
     update.upstreams.push_back(std::move(stored));
   }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -199,6 +199,9 @@
   // this instance lacks.
   bool IsConfigBehind(const PeerDigest& digest) const;
   bool AreUpstreamsBehind(const PeerDigest& digest) const;
+  // The position from which this instance lacks the sender's registrations; 0
+  // if it needs all of them.
+  LogOffset UpstreamsKnownTo(const PeerDigest& digest) const;
   // The newest version that this instance or a peer has in force; 0 if none.
   uint64_t NewestKnownConfigVersion() const;
   // Since when this instance has known of a newer version than its own without
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -362,6 +362,12 @@
                                    digest.upstreams_hash != m_table.hash));
 }
 
+// A table that differs but is equally new is fetched whole.
+LogOffset Router::UpstreamsKnownTo(const PeerDigest& digest) const {
+  const bool is_newer = digest.upstreams_as_of > m_table.as_of;
+  return is_newer && m_table.is_complete ? m_table.as_of : LogOffset{};
+}
+
 uint64_t Router::NewestKnownConfigVersion() const {
   uint64_t newest = m_config ? m_config->version : 0;
   for (const auto& [name, peer] : m_peers) {
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -48,6 +48,18 @@
   return changed;
 }
 
+UpstreamUpdate UpdateSince(const UpstreamTable& table, LogOffset known) {
+  UpstreamUpdate update;
+  update.as_of = table.as_of;
+  update.is_whole_list = known.value == 0 && table.is_complete;
+  for (const auto& [name, entry] : table.entries) {
+    if (entry.offset >= known) {
+      update.changes.push_back({name, entry.offset, entry.record, entry.text});
+    }
+  }
+  return update;
+}
+
 std::vector<UpstreamName> DropUnlisted(
     UpstreamTable& table,
     const std::vector<UpstreamChange>& listed,
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -72,6 +72,17 @@
     LogOffset as_of,
     Time now);
 
+// What an instance sends to a peer that lacks registrations.
+struct UpstreamUpdate {
+  LogOffset as_of;
+  // Whether `changes` are the complete table and not only what has changed.
+  bool is_whole_list = false;
+  std::vector<UpstreamChange> changes;
+};
+
+// Returns what a peer lacks whose table is as of `known`; 0 if it has none.
+UpstreamUpdate UpdateSince(const UpstreamTable& table, LogOffset known);
+
 // Removes the records of all upstreams that `listed`, a complete list as of
 // `as_of`, does not contain. Returns their ids.
 std::vector<UpstreamName> DropUnlisted(
