--- a/test/support/routing_site.cc
+++ b/test/support/routing_site.cc
@@ -38,6 +38,24 @@
   return {{id}, LogOffset{offset}, std::nullopt};
 }
 
+void ApplyUpdate(Router& router, const UpstreamUpdate& update, Time now) {
+  if (update.is_whole_list) {
+    router.ApplyUpstreamList(update.changes, update.as_of, now);
+  } else {
+    router.ApplyUpstreamChanges(update.changes, update.as_of, now);
+  }
+}
+
+bool FetchUpstreams(Router& router, Router& peer, Time now) {
+  const PeerDigest digest = peer.BuildDigest(false, true, now);
+  if (!router.AreUpstreamsBehind(digest)) {
+    return false;
+  }
+  const LogOffset known = router.UpstreamsKnownTo(digest);
+  ApplyUpdate(router, UpdateSince(peer.Upstreams(), known), now);
+  return true;
+}
+
 std::shared_ptr<const RoutingConfig> SmallRouting(uint64_t version) {
   auto config = std::make_shared<RoutingConfig>();
   config->version = version;
--- a/test/support/routing_site.h
+++ b/test/support/routing_site.h
@@ -19,6 +19,12 @@
 UpstreamChange DrainingUpstream(const std::string& id, uint64_t offset);
 UpstreamChange RemovedUpstream(const std::string& id, uint64_t offset);
 
+// Applies what a peer or the store has sent.
+void ApplyUpdate(Router& router, const UpstreamUpdate& update, Time now);
+// Fetches from `peer` what `router` lacks by its digest. Returns whether it
+// lacked anything.
+bool FetchUpstreams(Router& router, Router& peer, Time now);
+
 // A configuration with the routes "question" (priority 0, short event gaps),
 // "tag" (priority 1) and "draft" (priority 2, resumable) of the engines, and
 // "stamp" of the plain service.
