Ignore registrations that are older than a complete table

What callers saw: nothing yet, but a request reached an upstream 2.45 s after the store had acknowledged that it leaves.

Cause: a complete list says by omission that a name is gone, and no entry kept that. (1) An older registration of such a name, in a list or update of a peer that arrived late, counted as new, and bore the table's newer position from then on. (2) An instance that started from a list sent peers the entries that had changed since their position, without the removals that it had never read, together with a position that claims them.

Change: a complete table ignores what was written before its position, and a list that is older than it. UpstreamTable::removals_since says from where on removals have entries; a peer that is older gets the whole list. An incomplete table has no position. Two different tables of one position end without what only one of them has.

Ruled out for the trace: an attempt that waited after its placement; it was placed after the table had gone wrong.

--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -94,10 +94,7 @@
     LogOffset as_of,
     Time now) {
   NoteRestore(as_of, now);
-  auto changed = ApplyChanges(m_table, listed, as_of, now);
-  const auto dropped = DropUnlisted(m_table, listed, as_of, now);
-  changed.insert(changed.end(), dropped.begin(), dropped.end());
-  m_table.is_complete = true;
+  auto changed = ApplyList(m_table, listed, as_of, now);
   SyncStates(changed, now);
   return changed;
 }
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -22,8 +22,36 @@
   return hash;
 }
 
+// Removes the records of all upstreams that `listed` does not contain.
+std::vector<UpstreamName> DropUnlisted(
+    UpstreamTable& table,
+    const std::vector<UpstreamChange>& listed,
+    LogOffset as_of,
+    Time now) {
+  std::set<UpstreamName> names;
+  for (const UpstreamChange& change : listed) {
+    if (change.record) {
+      names.insert(change.id);
+    }
+  }
+  std::vector<UpstreamName> dropped;
+  for (auto& [name, entry] : table.entries) {
+    // An entry written after the list was made stays.
+    if (entry.record && !names.contains(name) && entry.offset < as_of) {
+      // Everything before `as_of` is known; the change at `as_of` itself comes
+      // after the list.
+      entry = {LogOffset{as_of.value - 1}, std::nullopt, {}, now};
+      dropped.push_back(name);
+    }
+  }
+  return dropped;
+}
+
 }  // namespace
 
+// A complete table has no entry for most names that are gone, so that a name
+// without an entry says as much as one with: what was written before the
+// table's position is applied already, or has been replaced since.
 std::vector<UpstreamName> ApplyChanges(
     UpstreamTable& table,
     const std::vector<UpstreamChange>& changes,
@@ -31,6 +59,9 @@
     Time now) {
   std::vector<UpstreamName> changed;
   for (const UpstreamChange& change : changes) {
+    if (table.is_complete && change.offset < table.as_of) {
+      continue;
+    }
     auto [entry, is_new] = table.entries.try_emplace(change.id);
     UpstreamEntry& known = entry->second;
     if (!is_new && change.offset <= known.offset) {
@@ -43,44 +74,48 @@
     known = {change.offset, change.record, change.text, now, had_ended};
     changed.push_back(change.id);
   }
-  table.as_of = std::max(table.as_of, as_of);
+  if (table.is_complete) {
+    table.as_of = std::max(table.as_of, as_of);
+  }
   table.hash = changed.empty() ? table.hash : HashOf(table);
   return changed;
 }
 
+// Two complete tables of one position should be equal. If they are not, neither
+// side can tell which one is wrong: both end without what only one has. An
+// upstream that lives is registered anew within seconds.
+std::vector<UpstreamName> ApplyList(UpstreamTable& table,
+                                    const std::vector<UpstreamChange>& listed,
+                                    LogOffset as_of,
+                                    Time now) {
+  if (table.is_complete && as_of < table.as_of) {
+    return {};
+  }
+  if (!table.is_complete || as_of > table.as_of) {
+    table.removals_since = as_of;
+  }
+  auto changed = ApplyChanges(table, listed, as_of, now);
+  const auto dropped = DropUnlisted(table, listed, as_of, now);
+  changed.insert(changed.end(), dropped.begin(), dropped.end());
+  table.is_complete = true;
+  table.as_of = std::max(table.as_of, as_of);
+  table.hash = HashOf(table);
+  return changed;
+}
+
 UpstreamUpdate UpdateSince(const UpstreamTable& table, LogOffset known) {
   UpstreamUpdate update;
   update.as_of = table.as_of;
-  update.is_whole_list = known.value == 0 && table.is_complete;
+  // A peer that is older than the known removals may have any upstream that is
+  // gone; only a whole list tells it which.
+  update.is_whole_list =
+      table.is_complete && (known.value == 0 || known < table.removals_since);
   for (const auto& [name, entry] : table.entries) {
-    if (entry.offset >= known) {
+    if (update.is_whole_list || entry.offset >= known) {
       update.changes.push_back({name, entry.offset, entry.record, entry.text});
     }
   }
   return update;
 }
 
-std::vector<UpstreamName> DropUnlisted(
-    UpstreamTable& table,
-    const std::vector<UpstreamChange>& listed,
-    LogOffset as_of,
-    Time now) {
-  std::set<UpstreamName> names;
-  for (const UpstreamChange& change : listed) {
-    names.insert(change.id);
-  }
-  std::vector<UpstreamName> dropped;
-  for (auto& [name, entry] : table.entries) {
-    // An entry written after the list was made stays.
-    if (entry.record && !names.contains(name) && entry.offset < as_of) {
-      // Everything before `as_of` is known; the change at `as_of` itself comes
-      // after the list.
-      entry = {LogOffset{as_of.value - 1}, std::nullopt, {}, now};
-      dropped.push_back(name);
-    }
-  }
-  table.hash = dropped.empty() ? table.hash : HashOf(table);
-  return dropped;
-}
-
 }  // namespace pomeloring
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -58,14 +58,19 @@
 
 struct UpstreamTable {
   std::map<UpstreamName, UpstreamEntry> entries;
-  LogOffset as_of;  // All changes before this offset are applied.
+  // All changes before this offset are applied; 0 until the table is complete.
+  LogOffset as_of;
+  // All removals from this offset on have an entry. Earlier ones may be known
+  // only from a complete list that lacks the upstream.
+  LogOffset removals_since;
   // Covers all that affects routing: tables with the same hash are equivalent.
   uint64_t hash = 0;
   bool is_complete = false;
 };
 
-// Applies changes, ignoring those older than the last known one of the same
-// upstream. Returns the ids whose routing has changed.
+// Applies changes, ignoring those that are older than the table or than the
+// last known one of the same upstream. Returns the ids whose routing has
+// changed.
 std::vector<UpstreamName> ApplyChanges(
     UpstreamTable& table,
     const std::vector<UpstreamChange>& changes,
@@ -83,13 +88,12 @@
 // Returns what a peer lacks whose table is as of `known`; 0 if it has none.
 UpstreamUpdate UpdateSince(const UpstreamTable& table, LogOffset known);
 
-// Removes the records of all upstreams that `listed`, a complete list as of
-// `as_of`, does not contain. Returns their ids.
-std::vector<UpstreamName> DropUnlisted(
-    UpstreamTable& table,
-    const std::vector<UpstreamChange>& listed,
-    LogOffset as_of,
-    Time now);
+// Applies a complete list as of `as_of`, ignoring one that is older than the
+// table. Returns the ids whose routing has changed.
+std::vector<UpstreamName> ApplyList(UpstreamTable& table,
+                                    const std::vector<UpstreamChange>& listed,
+                                    LogOffset as_of,
+                                    Time now);
 
 }  // namespace pomeloring
 
