Check all that ends an upstream's use before a request is sent

What callers saw: nothing known. A request that waited for a connection, or was placed while the registration changed, went to an upstream that drains, whose registration is gone, or that is held back after a restore of the store.

Cause: the check before the bytes go out asked for what replies say (leaving, pauses) and for quarantines; draining, removal and held_until were asked for at placement only. Class: the same question answered in two places.

Change: FindUseBlock() says why an upstream may not be used; placement and Router::FindSendBlock() ask it. The log quotes the reason (attempt-withdrawn).

Evidence: routing/leaving_upstream_gets_no_requests; 4 checks of the two new cases failed before. The checks of MaySend() became checks of FindSendBlock(), which name the reason too.

--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -149,7 +149,9 @@
     ReleaseConnection(true);
     co_return AttemptEnd::kStopped;
   }
-  if (!m_gateway.router.MaySend(*m_attempt, Now())) {
+  if (const SendBlock block = m_gateway.router.FindSendBlock(*m_attempt, Now());
+      block != SendBlock::kNone) {
+    LogWithdrawn(block);
     *m_request_sent = true;  // Nothing is pending on the connection.
     ReleaseConnection(true);
     co_return AttemptEnd::kWithdrawn;
@@ -162,6 +164,19 @@
   co_return end;
 }
 
+void UpstreamAttempt::LogWithdrawn(SendBlock block) {
+  CountEvent(m_gateway.metrics, "attempts_withdrawn");
+  m_gateway.log.Write(
+      LogLevel::kInfo, "attempt-withdrawn",
+      {{"request", m_request.id},
+       {"upstream", m_attempt->upstream->record.id.value},
+       {"block", std::string(ToString(block))},
+       {"placed_ms_ago",
+        fmt::format("{:.0f}", ToMillis(Now() - m_attempt->started))},
+       {"upstreams_as_of",
+        std::to_string(m_gateway.router.Upstreams().as_of.value)}});
+}
+
 // Reads heads until one belongs to this request. Late replies to earlier
 // requests are discarded.
 asio::awaitable<bool> UpstreamAttempt::ReadHead(
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -216,8 +216,7 @@
   }
   EjectOutliers(found->second, now);
   for (UpstreamState* state : found->second) {
-    if (!state->record.draining && !state->backpressure.is_leaving &&
-        now >= state->held_until) {
+    if (FindUseBlock(*state, now) == SendBlock::kNone) {
       candidates.push_back(state);
     }
   }
@@ -547,16 +546,23 @@
   return change;
 }
 
-bool Router::MaySend(const PlacedAttempt& attempt, Time now) const {
-  const Backpressure& asked = CurrentState(attempt).backpressure;
+SendBlock Router::FindSendBlock(const PlacedAttempt& attempt, Time now) const {
   const UpstreamRecord& placed = attempt.upstream->record;
   const auto current = m_states.find(placed.id);
-  if (current != m_states.end() &&
-      current->second->record.software_version != placed.software_version) {
-    return false;  // It has come back under its name as another version.
+  if (current == m_states.end() ||
+      !IsSameProcess(current->second->record, placed)) {
+    return SendBlock::kGone;
   }
-  return !asked.is_leaving && now >= asked.paused_until &&
-         !IsQuarantined(attempt, now);
+  const UpstreamState& upstream = *current->second;
+  if (const SendBlock block = FindUseBlock(upstream, now);
+      block != SendBlock::kNone) {
+    return block;
+  }
+  if (now < upstream.backpressure.paused_until) {
+    return SendBlock::kPaused;
+  }
+  return IsQuarantined(attempt, now) ? SendBlock::kQuarantined
+                                     : SendBlock::kNone;
 }
 
 // --- Time -------------------------------------------------------------------
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -19,6 +19,7 @@
 #include "routing/peer_digest.h"
 #include "routing/placement.h"
 #include "routing/routing_config.h"
+#include "routing/send_block.h"
 #include "routing/shared_retry_budget.h"
 #include "routing/stream_origins.h"
 #include "routing/upstream_state.h"
@@ -152,9 +153,9 @@
   BackpressureChange RecordReply(PlacedAttempt& attempt,
                                  const ReplySignals& signals,
                                  Time now);
-  // Whether the attempt may still be sent. What its upstream asks may have
-  // changed since it was placed.
-  bool MaySend(const PlacedAttempt& attempt, Time now) const;
+  // Why the attempt may not be sent any more. What is known of its upstream may
+  // have changed since it was placed.
+  SendBlock FindSendBlock(const PlacedAttempt& attempt, Time now) const;
   // Records that the upstream has sent bytes and is alive.
   void RecordByte(PlacedAttempt& attempt, Time now) {
     attempt.upstream->health.last_byte_at = now;
--- a/test/routing/leaving_upstream_gets_no_requests_test.cc
+++ b/test/routing/leaving_upstream_gets_no_requests_test.cc
@@ -1,5 +1,6 @@
 // An upstream that says in a reply that it leaves must get no more requests,
-// whatever the store and peers say, until a new process takes its name.
+// whatever the store and peers say, until a new process takes its name. Neither
+// must one whose registration ends its use after a request was placed there.
 
 #include <doctest/doctest.h>
 
@@ -42,7 +43,7 @@
   const auto placed_before = Place(*router);
   CHECK(router->RecordReply(*first, {.is_leaving = true}, kNow).leaving);
   CHECK_FALSE(IsUsed(*router));
-  CHECK_FALSE(router->MaySend(*placed_before, kNow));
+  CHECK(router->FindSendBlock(*placed_before, kNow) == SendBlock::kLeaving);
 
   // Its other replies and registrations do not bring it back.
   CHECK_FALSE(router->RecordReply(*placed_before, {}, kNow).leaving);
@@ -70,7 +71,7 @@
     router->ApplyUpstreamChanges({StartedAt(1000, 4)}, {5}, kNow);
   }
   CHECK_FALSE(IsUsed(*router));
-  CHECK_FALSE(router->MaySend(*also_running, kNow));
+  CHECK(router->FindSendBlock(*also_running, kNow) == SendBlock::kLeaving);
 }
 
 TEST_CASE("A new process under the name is used, whatever the old one says") {
@@ -83,6 +84,40 @@
   CHECK(IsUsed(*router));
 }
 
+TEST_CASE("A registration that ends the use counts for what is not sent yet") {
+  const auto router = RouterOf("a");
+  const auto placed = Place(*router);
+  REQUIRE(router->FindSendBlock(*placed, kNow) == SendBlock::kNone);
+  UpstreamChange change = StartedAt(1000, 2);
+  SendBlock expected = SendBlock::kGone;
+  SUBCASE("it drains") {
+    change.record->draining = true;
+    expected = SendBlock::kDraining;
+  }
+  SUBCASE("it is removed") {
+    change.record.reset();
+  }
+  SUBCASE("another process has its name") {
+    change = StartedAt(2000, 2);
+  }
+  router->ApplyUpstreamChanges({change}, {3}, kNow);
+  CHECK(router->FindSendBlock(*placed, kNow) == expected);
+}
+
+TEST_CASE(
+    "A registration of a restored store holds back what is not sent yet") {
+  constexpr uint64_t kRestored = uint64_t{1} << 40;
+  const auto router = RouterOf("a");
+  const auto placed = Place(*router);
+  UpstreamChange draining = StartedAt(1000, 2);
+  draining.record->draining = true;
+  router->ApplyUpstreamChanges({draining}, {3}, kNow);
+  router->ApplyUpstreamList({StartedAt(1000, kRestored + 1)}, {kRestored + 2},
+                            kNow);
+  CHECK(router->FindSendBlock(*placed, kNow + seconds(1)) == SendBlock::kHeld);
+  CHECK(router->FindSendBlock(*placed, kNow + seconds(3)) == SendBlock::kNone);
+}
+
 TEST_CASE("Peers move work away, and do not bring it back") {
   const auto told = RouterOf("a");
   const auto peer = RouterOf("b");
--- a/test/routing/pause_outlives_changes_test.cc
+++ b/test/routing/pause_outlives_changes_test.cc
@@ -38,8 +38,9 @@
   CHECK(pause(seconds(10), kNow));
   // The reply to a request that was sent before may arrive later.
   CHECK_FALSE(pause(seconds(1), kNow + seconds(1)));
-  CHECK_FALSE(router->MaySend(*first, kNow + milliseconds(9999)));
-  CHECK(router->MaySend(*first, kNow + seconds(10)));
+  CHECK(router->FindSendBlock(*first, kNow + milliseconds(9999)) ==
+        SendBlock::kPaused);
+  CHECK(router->FindSendBlock(*first, kNow + seconds(10)) == SendBlock::kNone);
 
   router->ApplyConfig(SmallRouting(2));
   CHECK_FALSE(IsUsed(*router, kNow + seconds(2)));
--- a/test/routing/stream_origin_outlives_its_instance_test.cc
+++ b/test/routing/stream_origin_outlives_its_instance_test.cc
@@ -80,7 +80,7 @@
   auto result = router->StartAttempt(RequestOn(*router, "draft", 100), kNow);
   const auto& placed = *std::get<std::shared_ptr<PlacedAttempt>>(result);
   router->ApplyUpstreamChanges({EngineAt("v2", 3)}, {4}, kNow);
-  CHECK_FALSE(router->MaySend(placed, kNow));
+  CHECK(router->FindSendBlock(placed, kNow) == SendBlock::kGone);
   // What had begun before still belongs to the old one.
   router->RecordStreamBegin(7, placed, kNow);
   CHECK(FindOrigin(router->Origins(), 7)->software_version == "v1");
