Take a registration without a start time for one of the known process

What callers saw: nothing known. A registration that another writer stored without its start time or version made the upstream another process, so that all instances forgot that it had said it leaves, or had asked for a pause.

Cause: an unknown start time compared as a value of its own. Change: unknown values contradict none, and do not replace known ones.

By reading, not from a trace.

--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -38,9 +38,15 @@
   }
 }
 
-bool IsSameProcess(const UpstreamRecord& a, const UpstreamRecord& b) {
-  return a.started_at_ms == b.started_at_ms && a.address == b.address &&
-         a.software_version == b.software_version;
+// Replaces what is known of a process, except by unknown values.
+void UpdateRecord(UpstreamRecord& known, const UpstreamRecord& record) {
+  const UpstreamRecord before = std::exchange(known, record);
+  if (known.started_at_ms == 0) {
+    known.started_at_ms = before.started_at_ms;
+  }
+  if (known.software_version.empty()) {
+    known.software_version = before.software_version;
+  }
 }
 
 }  // namespace
@@ -149,7 +155,7 @@
     }
     const bool is_returned =
         entry.had_ended && !record->draining && !is_other_process;
-    state->record = *record;
+    UpdateRecord(state->record, *record);
     state->is_removed = false;
     if (is_returned && m_store_restored_at) {
       state->held_until = *m_store_restored_at + m_settings.expiry_grace_period;
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -300,7 +300,8 @@
     const auto state = m_states.find(notice.upstream);
     // A notice on an earlier process under the same name is void.
     if (state != m_states.end() &&
-        state->second->record.started_at_ms == notice.started_at_ms) {
+        IsSameStart(state->second->record.started_at_ms,
+                    notice.started_at_ms)) {
       const BackpressureChange change =
           ApplyNotice(state->second->backpressure, notice, now);
       limit_has_changed |= change.limit;
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -49,6 +49,18 @@
 
 }  // namespace
 
+bool IsSameStart(int64_t a_ms, int64_t b_ms) {
+  return a_ms == b_ms || a_ms == 0 || b_ms == 0;
+}
+
+bool IsSameProcess(const UpstreamRecord& a, const UpstreamRecord& b) {
+  const bool is_same_version = a.software_version == b.software_version ||
+                               a.software_version.empty() ||
+                               b.software_version.empty();
+  return IsSameStart(a.started_at_ms, b.started_at_ms) &&
+         a.address == b.address && is_same_version;
+}
+
 // A complete table has no entry for most names that are gone, so that a name
 // without an entry says as much as one with: what was written before the
 // table's position is applied already, or has been replaced since.
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -29,6 +29,11 @@
   bool operator==(const UpstreamRecord&) const = default;
 };
 
+// Whether both are of one process, as far as they tell: a start time or version
+// that is unknown contradicts none.
+bool IsSameProcess(const UpstreamRecord& a, const UpstreamRecord& b);
+bool IsSameStart(int64_t a_ms, int64_t b_ms);
+
 // A change read from the store. Without a record, the upstream was removed or
 // its entry is malformed.
 struct UpstreamChange {
--- a/test/routing/leaving_upstream_gets_no_requests_test.cc
+++ b/test/routing/leaving_upstream_gets_no_requests_test.cc
@@ -118,6 +118,32 @@
   CHECK(router->FindSendBlock(*placed, kNow + seconds(3)) == SendBlock::kNone);
 }
 
+TEST_CASE(
+    "A registration without a start time is of the process known before") {
+  const auto router = RouterOf("a");
+  const auto told = RouterOf("b");
+  router->RecordReply(*Place(*router), {.is_leaving = true}, kNow);
+  UpstreamChange incomplete = StartedAt(0, 2);
+  incomplete.record->software_version.clear();
+  router->ApplyUpstreamChanges({incomplete}, {3}, kNow);
+  CHECK_FALSE(IsUsed(*router));
+  SUBCASE("peers are told that it leaves") {
+    told->ApplyUpstreamChanges({incomplete}, {3}, kNow);
+    told->HandleDigest(router->BuildDigest(false, true, kNow), kNow);
+    CHECK_FALSE(IsUsed(*told));
+  }
+  SUBCASE("a later start time is of another process") {
+    router->ApplyUpstreamChanges({StartedAt(2000, 3)}, {4}, kNow);
+    CHECK(IsUsed(*router));
+  }
+  SUBCASE("it was removed between") {
+    router->ApplyUpstreamChanges({RemovedUpstream("u1", 3)}, {4}, kNow);
+    incomplete.offset = {4};
+    router->ApplyUpstreamChanges({incomplete}, {5}, kNow);
+    CHECK_FALSE(IsUsed(*router));
+  }
+}
+
 TEST_CASE("Peers move work away, and do not bring it back") {
   const auto told = RouterOf("a");
   const auto peer = RouterOf("b");
