--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -531,7 +531,7 @@
 UpstreamState& Router::CurrentState(const PlacedAttempt& attempt) const {
   const UpstreamRecord& record = attempt.upstream->record;
   const auto found = m_states.find(record.id);
-  return found != m_states.end() && IsSameProcess(found->second->record, record)
+  return found != m_states.end() && IsSameProcess(record, found->second->record)
              ? *found->second
              : *attempt.upstream;
 }
@@ -556,7 +556,7 @@
   const UpstreamRecord& placed = attempt.upstream->record;
   const auto current = m_states.find(placed.id);
   if (current == m_states.end() ||
-      !IsSameProcess(current->second->record, placed)) {
+      !IsSameProcess(placed, current->second->record)) {
     return SendBlock::kGone;
   }
   const UpstreamState& upstream = *current->second;
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -298,10 +298,12 @@
   bool limit_has_changed = false;
   for (const UpstreamNotice& notice : digest.notices) {
     const auto state = m_states.find(notice.upstream);
+    if (state == m_states.end()) {
+      continue;
+    }
     // A notice on an earlier process under the same name is void.
-    if (state != m_states.end() &&
-        IsSameStart(state->second->record.started_at_ms,
-                    notice.started_at_ms)) {
+    const int64_t started_at_ms = state->second->record.started_at_ms;
+    if (started_at_ms == notice.started_at_ms || started_at_ms == 0) {
       const BackpressureChange change =
           ApplyNotice(state->second->backpressure, notice, now);
       limit_has_changed |= change.limit;
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -49,16 +49,13 @@
 
 }  // namespace
 
-bool IsSameStart(int64_t a_ms, int64_t b_ms) {
-  return a_ms == b_ms || a_ms == 0 || b_ms == 0;
-}
-
-bool IsSameProcess(const UpstreamRecord& a, const UpstreamRecord& b) {
-  const bool is_same_version = a.software_version == b.software_version ||
-                               a.software_version.empty() ||
-                               b.software_version.empty();
-  return IsSameStart(a.started_at_ms, b.started_at_ms) &&
-         a.address == b.address && is_same_version;
+bool IsSameProcess(const UpstreamRecord& known, const UpstreamRecord& record) {
+  const bool is_same_start =
+      record.started_at_ms == known.started_at_ms || record.started_at_ms == 0;
+  const bool is_same_version =
+      record.software_version == known.software_version ||
+      record.software_version.empty();
+  return is_same_start && is_same_version && record.address == known.address;
 }
 
 // A complete table has no entry for most names that are gone, so that a name
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -29,10 +29,9 @@
   bool operator==(const UpstreamRecord&) const = default;
 };
 
-// Whether both are of one process, as far as they tell: a start time or version
-// that is unknown contradicts none.
-bool IsSameProcess(const UpstreamRecord& a, const UpstreamRecord& b);
-bool IsSameStart(int64_t a_ms, int64_t b_ms);
+// Whether `record` is of the process of `known`, an earlier registration of the
+// same name. A start time or version that it lacks contradicts none.
+bool IsSameProcess(const UpstreamRecord& known, const UpstreamRecord& record);
 
 // A change read from the store. Without a record, the upstream was removed or
 // its entry is malformed.
