Rename the prompt quarantine to the wider concept: traits of requests

No change of behaviour. A part of a prompt is one trait under which upstreams may exit; a whole request will be another.

--- a/src/gateway/exchange_replies.cc
+++ b/src/gateway/exchange_replies.cc
@@ -65,7 +65,7 @@
        {"upstreams_as_of",
         std::to_string(m_gateway.router.Upstreams().as_of.value)}});
   if (unplaced.reason == PlacementRefusal::kQuarantined) {
-    LogQuarantine(unplaced.quarantined_part);
+    LogQuarantine(unplaced.quarantined_trait);
   }
   co_await SendLocalReply(std::move(reply));
 }
@@ -73,12 +73,12 @@
 // Names the engines' processes as "upstream-exited" does.
 void Exchange::LogQuarantine(size_t part_index) const {
   const PromptPart& part = m_metadata.prompt_parts[part_index];
-  const auto found = m_gateway.router.Quarantine().parts.find(part.id);
+  const auto found = m_gateway.router.Quarantine().traits.find(part.id);
   CountEvent(m_gateway.metrics, "quarantined_requests");
-  if (found == m_gateway.router.Quarantine().parts.end()) {
+  if (found == m_gateway.router.Quarantine().traits.end()) {
     return;
   }
-  const PartEvidence& evidence = found->second;
+  const TraitEvidence& evidence = found->second;
   std::string exits;
   for (const auto& [process, reply_had_begun] : evidence.exits) {
     exits += fmt::format("{}{:x}", exits.empty() ? "" : ",", process);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -314,10 +314,10 @@
 
   // Requests that are with an engine already are taken back before they begin.
   void ApplyQuarantines() {
-    const std::vector<PartId> parts = m_router.TakeNewQuarantines();
-    for (const PartId part : parts) {
-      const auto found = m_router.Quarantine().parts.find(part);
-      if (found == m_router.Quarantine().parts.end()) {
+    const std::vector<TraitId> parts = m_router.TakeNewQuarantines();
+    for (const TraitId part : parts) {
+      const auto found = m_router.Quarantine().traits.find(part);
+      if (found == m_router.Quarantine().traits.end()) {
         continue;
       }
       CountEvent(m_metrics, "part_quarantines");
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -73,7 +73,7 @@
         engines.prefill_ms_per_token, engines.empty_step_ms,
         engines.full_batch_step_ms, engines.observations);
   }
-  const auto& parts = router.Quarantine().parts;
+  const auto& parts = router.Quarantine().traits;
   out += fmt::format(
       "pomeloring_quarantined_parts {}\npomeloring_suspected_parts {}\n",
       std::count_if(
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -32,11 +32,11 @@
   return duration.count() / 1000;
 }
 
-void EncodePartNotice(const PartNotice& notice, wire::PartNotice& out) {
-  out.set_part(notice.part);
+void EncodeTraitNotice(const TraitNotice& notice, wire::TraitNotice& out) {
+  out.set_trait(notice.trait);
   out.set_epoch(notice.epoch);
   for (const auto& [process, reply_had_begun] : notice.exits) {
-    wire::EngineExit& exit = *out.add_exits();
+    wire::UpstreamExit& exit = *out.add_exits();
     exit.set_process(process);
     exit.set_reply_had_begun(reply_had_begun);
   }
@@ -56,11 +56,11 @@
   return milliseconds{std::clamp(ms, -kMaxNoticeMillis, kMaxNoticeMillis)};
 }
 
-PartNotice DecodePartNotice(const wire::PartNotice& in) {
-  PartNotice notice;
-  notice.part = in.part();
+TraitNotice DecodeTraitNotice(const wire::TraitNotice& in) {
+  TraitNotice notice;
+  notice.trait = in.trait();
   notice.epoch = in.epoch();
-  for (const wire::EngineExit& exit : in.exits()) {
+  for (const wire::UpstreamExit& exit : in.exits()) {
     notice.exits.emplace_back(exit.process(), exit.reply_had_begun());
   }
   notice.had_answers = in.had_answers();
@@ -121,8 +121,8 @@
       entry.set_requests_per_s(*notice.request_limit);
     }
   }
-  for (const PartNotice& notice : digest.part_notices) {
-    EncodePartNotice(notice, *out.add_parts());
+  for (const TraitNotice& notice : digest.trait_notices) {
+    EncodeTraitNotice(notice, *out.add_traits());
   }
   return out.SerializeAsString();
 }
@@ -175,8 +175,8 @@
     }
     digest.notices.push_back(std::move(notice));
   }
-  for (const wire::PartNotice& entry : in.parts()) {
-    digest.part_notices.push_back(DecodePartNotice(entry));
+  for (const wire::TraitNotice& entry : in.traits()) {
+    digest.trait_notices.push_back(DecodeTraitNotice(entry));
   }
   return digest;
 }
--- a/src/routing/exit_watch.h
+++ b/src/routing/exit_watch.h
@@ -8,7 +8,7 @@
 #include <map>
 #include <vector>
 
-#include "routing/prompt_quarantine.h"
+#include "routing/request_quarantine.h"
 
 namespace pomeloring {
 
--- a/src/routing/peer_digest.cc
+++ b/src/routing/peer_digest.cc
@@ -24,7 +24,7 @@
     pieces.push_back(digest);
     digest.cached_parts.clear();
     digest.notices.clear();
-    digest.part_notices.clear();
+    digest.trait_notices.clear();
     digest.changed_loads_only = true;
     ++digest.sequence;
   }
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "core/ids.h"
-#include "routing/prompt_quarantine.h"
+#include "routing/request_quarantine.h"
 #include "routing/upstream_state.h"
 
 namespace pomeloring {
@@ -53,7 +53,7 @@
   // What all upstreams with any Backpressure ask, as far as the sender knows.
   std::vector<UpstreamNotice> notices;
   // What is known against parts of prompts.
-  std::vector<PartNotice> part_notices;
+  std::vector<TraitNotice> trait_notices;
 };
 
 // Splits a digest with many loads into several that fit into a datagram each.
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -68,7 +68,7 @@
   double max_ms = 0;                // Longest one that leaves time to finish.
   double prefill_ms_per_token = 0;  // See EngineEstimate.
   Duration estimate_age{0};
-  size_t quarantined_part = 0;  // For kQuarantined: index in the prompt.
+  size_t quarantined_trait = 0;  // For kQuarantined: index in the prompt.
 };
 
 // The request should wait and be placed later: all upstreams are full, a higher
--- a/src/routing/prompt_quarantine.cc
+++ b/src/routing/request_quarantine.cc
@@ -1,4 +1,4 @@
-#include "routing/prompt_quarantine.h"
+#include "routing/request_quarantine.h"
 
 #include <algorithm>
 #include <optional>
@@ -34,17 +34,17 @@
 constexpr Duration kTrialStagger = seconds(1);
 constexpr size_t kMaxTrialRank = 30;
 // Limits on memory, as callers can invent parts.
-constexpr size_t kMaxParts = 128;
-constexpr size_t kMaxExitsPerPart = 8;
+constexpr size_t kMaxTraits = 128;
+constexpr size_t kMaxExitsPerTrait = 8;
 constexpr size_t kMaxAnswers = 8192;
 
-size_t ExitsWithReply(const PartEvidence& evidence) {
+size_t ExitsWithReply(const TraitEvidence& evidence) {
   return static_cast<size_t>(
       std::count_if(evidence.exits.begin(), evidence.exits.end(),
                     [](const auto& exit) { return exit.second; }));
 }
 
-bool IsSufficient(const PartEvidence& evidence, Time now) {
+bool IsSufficient(const TraitEvidence& evidence, Time now) {
   const size_t with_reply = ExitsWithReply(evidence);
   const size_t all = evidence.exits.size();
   if (!evidence.had_answers) {
@@ -57,16 +57,16 @@
 
 // An exit under a quarantined part says nothing about the other parts of the
 // requests that were there.
-bool IsExplained(const PromptQuarantine& quarantine, ProcessId process) {
-  return std::any_of(quarantine.parts.begin(), quarantine.parts.end(),
+bool IsExplained(const RequestQuarantine& quarantine, ProcessId process) {
+  return std::any_of(quarantine.traits.begin(), quarantine.traits.end(),
                      [&](const auto& entry) {
                        return entry.second.is_quarantined &&
                               entry.second.exits.contains(process);
                      });
 }
 
-bool HasRecentAnswer(const PromptQuarantine& quarantine,
-                     PartId part,
+bool HasRecentAnswer(const RequestQuarantine& quarantine,
+                     TraitId part,
                      Time now) {
   const auto found = quarantine.last_answers.find(part);
   return found != quarantine.last_answers.end() &&
@@ -84,18 +84,18 @@
 // Quarantines all parts with sufficient evidence, those with most exits first:
 // what they explain does not count against the others. Parts with the same
 // exits are quarantined together.
-std::vector<PartId> Decide(PromptQuarantine& quarantine, Time now) {
-  std::vector<PartId> decided;
+std::vector<TraitId> Decide(RequestQuarantine& quarantine, Time now) {
+  std::vector<TraitId> decided;
   while (true) {
-    for (auto& [part, evidence] : quarantine.parts) {
+    for (auto& [part, evidence] : quarantine.traits) {
       if (!evidence.is_quarantined) {
         std::erase_if(evidence.exits, [&](const auto& exit) {
           return IsExplained(quarantine, exit.first);
         });
       }
     }
-    std::vector<std::pair<PartId, PartEvidence*>> most;
-    for (auto& [part, evidence] : quarantine.parts) {
+    std::vector<std::pair<TraitId, TraitEvidence*>> most;
+    for (auto& [part, evidence] : quarantine.traits) {
       if (evidence.is_quarantined || !IsSufficient(evidence, now)) {
         continue;
       }
@@ -123,27 +123,27 @@
 
 // Drops the suspicion that has been without an exit for longest, or else the
 // oldest quarantine.
-void LimitParts(PromptQuarantine& quarantine) {
-  while (quarantine.parts.size() > kMaxParts) {
+void LimitTraits(RequestQuarantine& quarantine) {
+  while (quarantine.traits.size() > kMaxTraits) {
     const auto order = [](const auto& entry) {
       return std::pair(entry.second.is_quarantined,
                        entry.second.last_change_at);
     };
-    quarantine.parts.erase(std::min_element(
-        quarantine.parts.begin(), quarantine.parts.end(),
+    quarantine.traits.erase(std::min_element(
+        quarantine.traits.begin(), quarantine.traits.end(),
         [&](const auto& a, const auto& b) { return order(a) < order(b); }));
   }
 }
 
-void AddExit(PartEvidence& evidence, ProcessId process, bool reply_had_begun) {
+void AddExit(TraitEvidence& evidence, ProcessId process, bool reply_had_begun) {
   if (evidence.exits.contains(process) ||
-      evidence.exits.size() < kMaxExitsPerPart) {
+      evidence.exits.size() < kMaxExitsPerTrait) {
     evidence.exits[process] |= reply_had_begun;
   }
 }
 
-PartEvidence EvidenceFrom(const PartNotice& notice, Time now) {
-  PartEvidence evidence;
+TraitEvidence EvidenceFrom(const TraitNotice& notice, Time now) {
+  TraitEvidence evidence;
   evidence.epoch = notice.epoch;
   for (const auto& [process, reply_had_begun] : notice.exits) {
     AddExit(evidence, process, reply_had_begun);
@@ -159,7 +159,7 @@
 }
 
 // Merges what a peer knows of the same epoch. Returns whether anything is new.
-bool Merge(PartEvidence& evidence, const PartEvidence& other) {
+bool Merge(TraitEvidence& evidence, const TraitEvidence& other) {
   if (other.exits.empty()) {
     return false;
   }
@@ -191,9 +191,9 @@
 
 // Starts a new epoch without evidence. Parts that were quarantined for the same
 // exits are not ambiguous any more.
-void Clear(PromptQuarantine& quarantine, PartEvidence& evidence, Time now) {
+void Clear(RequestQuarantine& quarantine, TraitEvidence& evidence, Time now) {
   if (evidence.is_quarantined) {
-    for (auto& [part, other] : quarantine.parts) {
+    for (auto& [part, other] : quarantine.traits) {
       if (&other != &evidence && other.is_quarantined &&
           other.exits == evidence.exits) {
         ++other.trials;
@@ -202,20 +202,20 @@
     }
   }
   const uint32_t epoch = evidence.epoch + 1;
-  evidence = PartEvidence{};
+  evidence = TraitEvidence{};
   evidence.epoch = epoch;
   evidence.last_change_at = now;
 }
 
 // Returns the index of the part that decides, and its evidence.
-std::optional<std::pair<size_t, const PartEvidence*>> FindQuarantined(
-    const PromptQuarantine& quarantine,
+std::optional<std::pair<size_t, const TraitEvidence*>> FindQuarantined(
+    const RequestQuarantine& quarantine,
     std::span<const PromptPart> shared,
     size_t& count) {
-  std::optional<std::pair<size_t, const PartEvidence*>> found;
+  std::optional<std::pair<size_t, const TraitEvidence*>> found;
   for (size_t i = 0; i < shared.size(); ++i) {
-    const auto entry = quarantine.parts.find(shared[i].id);
-    if (entry != quarantine.parts.end() && entry->second.is_quarantined) {
+    const auto entry = quarantine.traits.find(shared[i].id);
+    if (entry != quarantine.traits.end() && entry->second.is_quarantined) {
       found = {i, &entry->second};
       ++count;
     }
@@ -234,12 +234,12 @@
   return parts.empty() ? parts : parts.first(parts.size() - 1);
 }
 
-PromptAssessment AssessPrompt(const PromptQuarantine& quarantine,
-                              std::span<const PromptPart> parts,
-                              size_t rank,
-                              Time now) {
+RequestAssessment AssessRequest(const RequestQuarantine& quarantine,
+                                std::span<const PromptPart> parts,
+                                size_t rank,
+                                Time now) {
   const auto shared = SharedParts(parts);
-  if (quarantine.parts.empty() || shared.empty()) {
+  if (quarantine.traits.empty() || shared.empty()) {
     return {};
   }
   size_t count = 0;
@@ -250,23 +250,23 @@
         static_cast<int64_t>(std::min(rank, kMaxTrialRank)) * kTrialStagger;
     // A trial with two quarantined parts would not tell which one it is.
     if (count == 1 && now >= trial_at) {
-      return {PromptVerdict::kTrial, index, {}};
+      return {RequestVerdict::kTrial, index, {}};
     }
-    return {PromptVerdict::kRefused, index,
+    return {RequestVerdict::kRefused, index,
             std::max(kTrialStagger, evidence->next_trial_at - now)};
   }
   for (size_t i = shared.size(); i-- > 0;) {
-    const auto entry = quarantine.parts.find(shared[i].id);
-    if (entry != quarantine.parts.end() && !entry->second.had_answers &&
+    const auto entry = quarantine.traits.find(shared[i].id);
+    if (entry != quarantine.traits.end() && !entry->second.had_answers &&
         ExitsWithReply(entry->second) > 0) {
-      return {PromptVerdict::kSuspect, i, {}};
+      return {RequestVerdict::kSuspect, i, {}};
     }
   }
   return {};
 }
 
 size_t TrialRank(std::span<const PromptPart> parts,
-                 const PromptQuarantine& quarantine,
+                 const RequestQuarantine& quarantine,
                  uint32_t self,
                  std::span<const uint32_t> others) {
   size_t count = 0;
@@ -286,33 +286,33 @@
       [&](uint32_t other) { return weight(other) > own_weight; }));
 }
 
-void BeginTrial(PromptQuarantine& quarantine, PartId part, Time now) {
-  PartEvidence& evidence = quarantine.parts[part];
+void BeginTrial(RequestQuarantine& quarantine, TraitId part, Time now) {
+  TraitEvidence& evidence = quarantine.traits[part];
   ++evidence.trials;
   evidence.next_trial_at = now + TrialDelay(evidence.trials);
   evidence.last_change_at = now;
 }
 
-std::vector<PartId> RecordExit(PromptQuarantine& quarantine,
-                               std::span<const PromptPart> parts,
-                               ProcessId process,
-                               bool reply_had_begun,
-                               Time now) {
+std::vector<TraitId> RecordExit(RequestQuarantine& quarantine,
+                                std::span<const PromptPart> parts,
+                                ProcessId process,
+                                bool reply_had_begun,
+                                Time now) {
   const auto shared = SharedParts(parts);
   size_t quarantined_parts = 0;
   FindQuarantined(quarantine, shared, quarantined_parts);
   for (const PromptPart& part : shared) {
-    const auto known = quarantine.parts.find(part.id);
+    const auto known = quarantine.traits.find(part.id);
     const bool is_quarantined =
-        known != quarantine.parts.end() && known->second.is_quarantined;
+        known != quarantine.traits.end() && known->second.is_quarantined;
     if (quarantined_parts > 0 && !is_quarantined) {
       continue;  // Explained by the quarantined part.
     }
     const bool had_answers = HasRecentAnswer(quarantine, part.id, now);
-    if (had_answers && !reply_had_begun && known == quarantine.parts.end()) {
+    if (had_answers && !reply_had_begun && known == quarantine.traits.end()) {
       continue;
     }
-    PartEvidence& evidence = quarantine.parts[part.id];
+    TraitEvidence& evidence = quarantine.traits[part.id];
     if (evidence.exits.empty()) {
       evidence.first_exit_at = now;
     }
@@ -321,18 +321,18 @@
     evidence.last_change_at = now;
   }
   auto decided = Decide(quarantine, now);
-  LimitParts(quarantine);
+  LimitTraits(quarantine);
   return decided;
 }
 
-bool RecordAnswer(PromptQuarantine& quarantine,
+bool RecordAnswer(RequestQuarantine& quarantine,
                   std::span<const PromptPart> parts,
                   Time now) {
   bool has_cleared = false;
   for (const PromptPart& part : SharedParts(parts)) {
     quarantine.last_answers[part.id] = now;
-    const auto found = quarantine.parts.find(part.id);
-    if (found != quarantine.parts.end() && !found->second.exits.empty()) {
+    const auto found = quarantine.traits.find(part.id);
+    if (found != quarantine.traits.end() && !found->second.exits.empty()) {
       Clear(quarantine, found->second, now);
       has_cleared = true;
     }
@@ -346,7 +346,7 @@
   return has_cleared;
 }
 
-bool HadRecentAnswers(const PromptQuarantine& quarantine,
+bool HadRecentAnswers(const RequestQuarantine& quarantine,
                       std::span<const PromptPart> parts,
                       Time now) {
   const auto shared = SharedParts(parts);
@@ -355,10 +355,10 @@
   });
 }
 
-std::vector<PartNotice> MakePartNotices(const PromptQuarantine& quarantine,
-                                        Time now) {
-  std::vector<PartNotice> notices;
-  for (const auto& [part, evidence] : quarantine.parts) {
+std::vector<TraitNotice> MakeTraitNotices(const RequestQuarantine& quarantine,
+                                          Time now) {
+  std::vector<TraitNotice> notices;
+  for (const auto& [part, evidence] : quarantine.traits) {
     notices.push_back({part,
                        evidence.epoch,
                        {evidence.exits.begin(), evidence.exits.end()},
@@ -373,15 +373,15 @@
   return notices;
 }
 
-PartNoticeResult ApplyPartNotices(PromptQuarantine& quarantine,
-                                  std::span<const PartNotice> notices,
-                                  Time now) {
-  PartNoticeResult result;
-  for (const PartNotice& notice : notices) {
-    const PartEvidence other = EvidenceFrom(notice, now);
+TraitNoticeResult ApplyTraitNotices(RequestQuarantine& quarantine,
+                                    std::span<const TraitNotice> notices,
+                                    Time now) {
+  TraitNoticeResult result;
+  for (const TraitNotice& notice : notices) {
+    const TraitEvidence other = EvidenceFrom(notice, now);
     const auto [entry, is_new] =
-        quarantine.parts.try_emplace(notice.part, other);
-    PartEvidence& evidence = entry->second;
+        quarantine.traits.try_emplace(notice.trait, other);
+    TraitEvidence& evidence = entry->second;
     const bool was_quarantined = !is_new && evidence.is_quarantined;
     if (other.epoch > evidence.epoch) {
       evidence = other;
@@ -391,17 +391,17 @@
     }
     result.has_changes |= is_new;
     // An answer here may have gone on before the notice of an exit arrived.
-    const auto answer = quarantine.last_answers.find(notice.part);
+    const auto answer = quarantine.last_answers.find(notice.trait);
     if (!evidence.exits.empty() && answer != quarantine.last_answers.end()) {
       if (answer->second >= evidence.first_exit_at) {
         Clear(quarantine, evidence, now);
         result.has_changes = true;
       } else {
-        evidence.had_answers |= HasRecentAnswer(quarantine, notice.part, now);
+        evidence.had_answers |= HasRecentAnswer(quarantine, notice.trait, now);
       }
     }
     if (evidence.is_quarantined && !was_quarantined) {
-      result.quarantined.push_back(notice.part);
+      result.quarantined.push_back(notice.trait);
     }
   }
   const auto decided = TickQuarantine(quarantine, now);
@@ -411,16 +411,16 @@
   return result;
 }
 
-std::vector<PartId> TickQuarantine(PromptQuarantine& quarantine, Time now) {
-  std::erase_if(quarantine.parts, [&](const auto& entry) {
-    const PartEvidence& evidence = entry.second;
+std::vector<TraitId> TickQuarantine(RequestQuarantine& quarantine, Time now) {
+  std::erase_if(quarantine.traits, [&](const auto& entry) {
+    const TraitEvidence& evidence = entry.second;
     const Duration retention = evidence.is_quarantined  ? kQuarantineRetention
                                : evidence.exits.empty() ? kClearedRetention
                                                         : kSuspicionRetention;
     return now - evidence.last_change_at >= retention;
   });
   auto decided = Decide(quarantine, now);
-  LimitParts(quarantine);
+  LimitTraits(quarantine);
   return decided;
 }
 
--- a/src/routing/prompt_quarantine.h
+++ b/src/routing/request_quarantine.h
@@ -1,8 +1,8 @@
-// Defines PromptQuarantine: which parts of prompts make engines exit, as
+// Defines RequestQuarantine: which parts of prompts make engines exit, as
 // observed by all instances together. Requests with such a part are refused.
 
-#ifndef POMELORING_ROUTING_PROMPT_QUARANTINE_H_
-#define POMELORING_ROUTING_PROMPT_QUARANTINE_H_
+#ifndef POMELORING_ROUTING_REQUEST_QUARANTINE_H_
+#define POMELORING_ROUTING_REQUEST_QUARANTINE_H_
 
 #include <cstdint>
 #include <map>
@@ -16,7 +16,7 @@
 namespace pomeloring {
 
 // A part of a prompt; see PromptPart::id.
-using PartId = uint64_t;
+using TraitId = uint64_t;
 // One process of an engine; see ProcessIdOf().
 using ProcessId = uint64_t;
 
@@ -25,7 +25,7 @@
 // What is known against one part. It is replaced by that of a higher epoch and
 // merged with that of the same one, so that all instances agree in the end,
 // whatever the order of their notices.
-struct PartEvidence {
+struct TraitEvidence {
   // Rises when an answer to a prompt with the part has gone on.
   uint32_t epoch = 0;
   // Engines that exited while a request with the part had no answer there, and
@@ -34,7 +34,7 @@
   // Answers to prompts with the part had gone on shortly before the first exit.
   bool had_answers = false;
   bool is_quarantined = false;
-  // Trials so far; see AssessPrompt().
+  // Trials so far; see AssessRequest().
   uint32_t trials = 0;
   Time first_exit_at;
   Time last_change_at;
@@ -42,9 +42,9 @@
   Time next_trial_at;
 };
 
-// PartEvidence as sent to peers; times are relative to the sending.
-struct PartNotice {
-  PartId part = 0;
+// TraitEvidence as sent to peers; times are relative to the sending.
+struct TraitNotice {
+  TraitId trait = 0;
   uint32_t epoch = 0;
   std::vector<std::pair<ProcessId, bool>> exits;
   bool had_answers = false;
@@ -56,14 +56,14 @@
   Duration until_next_trial{0};  // May be negative.
 };
 
-struct PromptQuarantine {
+struct RequestQuarantine {
   // Limited in size; see the source.
-  std::map<PartId, PartEvidence> parts;
+  std::map<TraitId, TraitEvidence> traits;
   // When an answer under a part last went on at this instance.
-  std::unordered_map<PartId, Time> last_answers;
+  std::unordered_map<TraitId, Time> last_answers;
 };
 
-enum class PromptVerdict {
+enum class RequestVerdict {
   kAllowed,
   // An engine has exited under a part that no answer has cleared. Requests with
   // it are sent to one engine only, the same for all instances.
@@ -72,8 +72,8 @@
   kRefused,  // A part is quarantined.
 };
 
-struct PromptAssessment {
-  PromptVerdict verdict = PromptVerdict::kAllowed;
+struct RequestAssessment {
+  RequestVerdict verdict = RequestVerdict::kAllowed;
   size_t part_index = 0;    // Of the part that decides, unless kAllowed.
   Duration retry_after{0};  // For kRefused: until the next trial.
 };
@@ -85,55 +85,55 @@
 // Decides about a request with the prompt `parts`. Trials are spread over the
 // instances: `rank` is this one's place in an order that differs between parts;
 // see TrialRank().
-PromptAssessment AssessPrompt(const PromptQuarantine& quarantine,
-                              std::span<const PromptPart> parts,
-                              size_t rank,
-                              Time now);
+RequestAssessment AssessRequest(const RequestQuarantine& quarantine,
+                                std::span<const PromptPart> parts,
+                                size_t rank,
+                                Time now);
 
 // Returns how many of the instances `others` come before `self` in the order of
 // trials of the prompt's quarantined part. Both are ShortHash() of instances.
 size_t TrialRank(std::span<const PromptPart> parts,
-                 const PromptQuarantine& quarantine,
+                 const RequestQuarantine& quarantine,
                  uint32_t self,
                  std::span<const uint32_t> others);
 
 // Records that a trial of the part begins, which postpones the next one.
-void BeginTrial(PromptQuarantine& quarantine, PartId part, Time now);
+void BeginTrial(RequestQuarantine& quarantine, TraitId part, Time now);
 
 // Records that an engine has exited while a request with `parts` had no answer
 // there. Returns the parts that are quarantined by it.
-std::vector<PartId> RecordExit(PromptQuarantine& quarantine,
-                               std::span<const PromptPart> parts,
-                               ProcessId process,
-                               bool reply_had_begun,
-                               Time now);
+std::vector<TraitId> RecordExit(RequestQuarantine& quarantine,
+                                std::span<const PromptPart> parts,
+                                ProcessId process,
+                                bool reply_had_begun,
+                                Time now);
 
 // Records that an answer to a prompt with `parts` has gone on beyond its first
 // event, which clears them. Returns whether anything was held against one.
-bool RecordAnswer(PromptQuarantine& quarantine,
+bool RecordAnswer(RequestQuarantine& quarantine,
                   std::span<const PromptPart> parts,
                   Time now);
 
 // Whether answers under each of the shared parts have gone on recently.
-bool HadRecentAnswers(const PromptQuarantine& quarantine,
+bool HadRecentAnswers(const RequestQuarantine& quarantine,
                       std::span<const PromptPart> parts,
                       Time now);
 
-std::vector<PartNotice> MakePartNotices(const PromptQuarantine& quarantine,
-                                        Time now);
+std::vector<TraitNotice> MakeTraitNotices(const RequestQuarantine& quarantine,
+                                          Time now);
 
-struct PartNoticeResult {
+struct TraitNoticeResult {
   bool has_changes = false;
-  std::vector<PartId> quarantined;  // Those that were not before.
+  std::vector<TraitId> quarantined;  // Those that were not before.
 };
-PartNoticeResult ApplyPartNotices(PromptQuarantine& quarantine,
-                                  std::span<const PartNotice> notices,
-                                  Time now);
+TraitNoticeResult ApplyTraitNotices(RequestQuarantine& quarantine,
+                                    std::span<const TraitNotice> notices,
+                                    Time now);
 
 // Quarantines the parts whose evidence has become sufficient with time, and
 // drops what has expired. Returns the parts quarantined.
-std::vector<PartId> TickQuarantine(PromptQuarantine& quarantine, Time now);
+std::vector<TraitId> TickQuarantine(RequestQuarantine& quarantine, Time now);
 
 }  // namespace pomeloring
 
-#endif  // POMELORING_ROUTING_PROMPT_QUARANTINE_H_
+#endif  // POMELORING_ROUTING_REQUEST_QUARANTINE_H_
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -19,7 +19,7 @@
 
 // Removes all candidates but one, which is the same at all instances with the
 // same candidates.
-void KeepOneFor(PartId part,
+void KeepOneFor(TraitId part,
                 std::span<const UpstreamName> excluded,
                 std::vector<UpstreamState*>& candidates) {
   std::erase_if(candidates, [&](const UpstreamState* candidate) {
@@ -244,17 +244,17 @@
   });
 }
 
-PromptAssessment Router::Assess(std::span<const PromptPart> parts,
-                                Time now) const {
-  PromptAssessment assessment = AssessPrompt(m_quarantine, parts, 0, now);
-  if (assessment.verdict != PromptVerdict::kTrial) {
+RequestAssessment Router::Assess(std::span<const PromptPart> parts,
+                                 Time now) const {
+  RequestAssessment assessment = AssessRequest(m_quarantine, parts, 0, now);
+  if (assessment.verdict != RequestVerdict::kTrial) {
     return assessment;
   }
   const std::set<uint32_t> others = ServingPeerHashes(now);
   const std::vector<uint32_t> hashes(others.begin(), others.end());
   const size_t rank =
       TrialRank(parts, m_quarantine, ShortHash(m_settings.name), hashes);
-  return AssessPrompt(m_quarantine, parts, rank, now);
+  return AssessRequest(m_quarantine, parts, rank, now);
 }
 
 StartAttemptResult Router::StartAttempt(const AttemptRequest& request,
@@ -263,10 +263,10 @@
   if (service == m_config->services.end()) {
     return Unplaced{PlacementRefusal::kNoUpstream, milliseconds(300)};
   }
-  const PromptAssessment prompt = Assess(request.parts, now);
-  if (prompt.verdict == PromptVerdict::kRefused) {
+  const RequestAssessment prompt = Assess(request.parts, now);
+  if (prompt.verdict == RequestVerdict::kRefused) {
     Unplaced unplaced{PlacementRefusal::kQuarantined, prompt.retry_after};
-    unplaced.quarantined_part = prompt.part_index;
+    unplaced.quarantined_trait = prompt.part_index;
     return unplaced;
   }
   auto candidates = CollectCandidates(request.service, now);
@@ -275,7 +275,7 @@
       return candidate->record.software_version != *request.software_version;
     });
   }
-  if (prompt.verdict == PromptVerdict::kSuspect) {
+  if (prompt.verdict == RequestVerdict::kSuspect) {
     KeepOneFor(request.parts[prompt.part_index].id, request.excluded,
                candidates);
   }
@@ -322,7 +322,7 @@
                       now);
   }
   attempt->parts = request.parts;
-  attempt->is_trial = prompt.verdict == PromptVerdict::kTrial;
+  attempt->is_trial = prompt.verdict == RequestVerdict::kTrial;
   if (attempt->is_trial) {
     BeginTrial(m_quarantine, request.parts[prompt.part_index].id, now);
     m_has_pending_changes = true;
@@ -486,7 +486,7 @@
 
 bool Router::IsQuarantined(const PlacedAttempt& attempt, Time now) const {
   return !attempt.is_trial &&
-         Assess(attempt.parts, now).verdict == PromptVerdict::kRefused;
+         Assess(attempt.parts, now).verdict == RequestVerdict::kRefused;
 }
 
 void Router::ProcessExits(Time now) {
@@ -517,12 +517,12 @@
   }
 }
 
-void Router::AddQuarantines(const std::vector<PartId>& parts) {
+void Router::AddQuarantines(const std::vector<TraitId>& parts) {
   m_new_quarantines.insert(m_new_quarantines.end(), parts.begin(), parts.end());
   m_has_pending_changes |= !parts.empty();
 }
 
-std::vector<PartId> Router::TakeNewQuarantines() {
+std::vector<TraitId> Router::TakeNewQuarantines() {
   return std::exchange(m_new_quarantines, {});
 }
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -54,7 +54,7 @@
   Time started;
   // No prefill was pending at the upstream when the attempt started.
   bool no_prefill_ahead = false;
-  // Tells whether engines still exit under a part; see AssessPrompt().
+  // Tells whether engines still exit under a part; see AssessRequest().
   bool is_trial = false;
   bool has_first_event = false;
   std::string route;
@@ -146,9 +146,9 @@
   bool IsExitPossible(const PlacedAttempt& attempt) const;
   // Whether the attempt has a quarantined part and is not a trial of it.
   bool IsQuarantined(const PlacedAttempt& attempt, Time now) const;
-  const PromptQuarantine& Quarantine() const { return m_quarantine; }
+  const RequestQuarantine& Quarantine() const { return m_quarantine; }
   // Returns the parts quarantined since the last call.
-  std::vector<PartId> TakeNewQuarantines();
+  std::vector<TraitId> TakeNewQuarantines();
   // Records what the reply to an attempt asks of this instance.
   BackpressureChange RecordReply(PlacedAttempt& attempt,
                                  const ReplySignals& signals,
@@ -238,13 +238,13 @@
   bool WasHigherPriorityRefused(const AttemptRequest& request, Time now) const;
   std::vector<UpstreamState*> CollectCandidates(const ServiceName& service,
                                                 Time now);
-  PromptAssessment Assess(std::span<const PromptPart> parts, Time now) const;
+  RequestAssessment Assess(std::span<const PromptPart> parts, Time now) const;
   void RecordAnswerIfGoingOn(const PlacedAttempt& attempt,
                              uint64_t events_before,
                              Time now);
   void ProcessExits(Time now);
   void UpdateVersions(Time now);
-  void AddQuarantines(const std::vector<PartId>& parts);
+  void AddQuarantines(const std::vector<TraitId>& parts);
   // Updates `m_states` and `m_by_service` from the records of `changed`.
   void SyncStates(std::span<const UpstreamName> changed, Time now);
   void DropPeerLoads(const InstanceName& peer);
@@ -258,7 +258,7 @@
   void ApplyLoads(PeerState& peer, const PeerDigest& digest, Time now);
   void ApplyParts(const PeerDigest& digest, Time now);
   void ApplyNotices(const PeerDigest& digest, Time now);
-  void ApplyPartNotices(const PeerDigest& digest, Time now);
+  void ApplyTraitNotices(const PeerDigest& digest, Time now);
   std::vector<UpstreamNotice> BuildNotices() const;
   // Divides the upstreams' limits among the instances that serve now.
   void DivideLimits(Time now);
@@ -280,8 +280,8 @@
   std::optional<Time> m_store_restored_at;
   std::map<ServiceName, SharedRetryBudget> m_retry_budgets;
   ExitWatch m_exits;
-  PromptQuarantine m_quarantine;
-  std::vector<PartId> m_new_quarantines;
+  RequestQuarantine m_quarantine;
+  std::vector<TraitId> m_new_quarantines;
   StreamOrigins m_origins;
   std::vector<KeyedOrigin> m_origins_to_send;
   // Time of the last refusal for lack of capacity, by service and priority.
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -73,7 +73,7 @@
   digest.upstreams_hash = m_table.hash;
   digest.reads_store = reads_store;
   digest.notices = BuildNotices();
-  digest.part_notices = MakePartNotices(m_quarantine, now);
+  digest.trait_notices = MakeTraitNotices(m_quarantine, now);
   return digest;
 }
 
@@ -229,7 +229,7 @@
   }
   ApplyParts(digest, now);
   ApplyNotices(digest, now);
-  ApplyPartNotices(digest, now);
+  ApplyTraitNotices(digest, now);
   m_has_pending_relay_changes |= m_is_relay;
   m_has_pending_changes |= m_is_relay && IsRelayedHere(peer, now);
   if (!m_config_behind_since && IsConfigBehind(digest)) {
@@ -315,9 +315,9 @@
   }
 }
 
-void Router::ApplyPartNotices(const PeerDigest& digest, Time now) {
-  const PartNoticeResult result =
-      pomeloring::ApplyPartNotices(m_quarantine, digest.part_notices, now);
+void Router::ApplyTraitNotices(const PeerDigest& digest, Time now) {
+  const TraitNoticeResult result =
+      pomeloring::ApplyTraitNotices(m_quarantine, digest.trait_notices, now);
   m_has_pending_changes |= result.has_changes;
   AddQuarantines(result.quarantined);
 }
--- a/test/routing/engine_exits_quarantine_one_part_test.cc
+++ b/test/routing/engine_exits_quarantine_one_part_test.cc
@@ -13,13 +13,13 @@
 namespace {
 
 const Time kStart{seconds(100)};
-constexpr PartId kCommon = 0xa1;
-constexpr PartId kFatal = 0xdead;
-constexpr PartId kOther = 0xb2;
+constexpr TraitId kCommon = 0xa1;
+constexpr TraitId kFatal = 0xdead;
+constexpr TraitId kOther = 0xb2;
 
-std::vector<PromptPart> Prompt(std::initializer_list<PartId> shared) {
+std::vector<PromptPart> Prompt(std::initializer_list<TraitId> shared) {
   std::vector<PromptPart> parts;
-  for (const PartId id : shared) {
+  for (const TraitId id : shared) {
     parts.push_back({id, 100, id});
   }
   parts.push_back({0xf1, 50, 0xf1});
@@ -208,16 +208,16 @@
     fleet.Pass(milliseconds(400));
   }
   CHECK_FALSE(fleet.IsRefused(0, Prompt({kFatal})));
-  CHECK(fleet.routers[0]->Quarantine().parts.empty());
+  CHECK(fleet.routers[0]->Quarantine().traits.empty());
 }
 
 TEST_CASE("What callers invent takes bounded memory") {
-  PromptQuarantine quarantine;
-  for (PartId part = 1; part < 20'000; ++part) {
+  RequestQuarantine quarantine;
+  for (TraitId part = 1; part < 20'000; ++part) {
     RecordExit(quarantine, Prompt({part}), part, true, kStart);
     RecordAnswer(quarantine, Prompt({part + 100'000}), kStart);
   }
-  CHECK(quarantine.parts.size() <= 128);
+  CHECK(quarantine.traits.size() <= 128);
   CHECK(quarantine.last_answers.size() <= 8192);
 }
 
