--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -125,6 +125,10 @@
     m_timeout = std::min(m_timeout, *m_metadata.time_left);
   }
   m_service = ChooseService(*m_route, StableHash(m_metadata.id));
+  m_whole_request = IdOfRequest(
+      {m_account == nullptr ? std::string_view() : m_account->name.value,
+       m_request.method_string(), m_request[http::field::host],
+       m_request.target(), m_request.body()});
   return std::nullopt;
 }
 
@@ -175,6 +179,7 @@
                                          m_service,
                                          m_metadata.prompt_tokens,
                                          m_metadata.prompt_parts,
+                                         m_whole_request,
                                          now - m_received_at,
                                          TimeLeft(),
                                          m_failed_upstreams,
@@ -352,6 +357,7 @@
        {"expected_ms",
         fmt::format("{:.0f}", ToMillis(attempt->placement.expected_latency))},
        {"running", std::to_string(TotalLoad(*attempt->upstream).running)},
+       {"trait", fmt::format("{:x}", m_whole_request)},
        {"parts", FormatSharedParts(m_metadata.prompt_parts)},
        {"upstreams_as_of",
         std::to_string(m_gateway.router.Upstreams().as_of.value)}});
@@ -390,11 +396,15 @@
          {"status", std::to_string(m_last_reply.status)},
          {"events", std::to_string(attempt->events)},
          {"run_ms", fmt::format("{:.0f}", ToMillis(Now() - attempt->started))},
+         {"trait", fmt::format("{:x}", m_whole_request)},
          {"parts", FormatSharedParts(m_metadata.prompt_parts)}});
   }
   m_gateway.router.EndAttempt(*attempt, OutcomeOf(end), Now());
+  if (end == AttemptEnd::kWhole && !StatesNotExecuted(m_last_reply.status)) {
+    m_gateway.router.RecordAnswer(*attempt, Now());
+  }
   m_gateway.on_load_change();
-  if (end == AttemptEnd::kBroken && attempt->tokens_per_event > 0) {
+  if (end == AttemptEnd::kBroken) {
     co_await CheckForExit(*attempt);
   }
   if (end != AttemptEnd::kNotSent && end != AttemptEnd::kWithdrawn &&
@@ -408,8 +418,9 @@
   co_return end;
 }
 
-// Answers under each part of a bystander's prompt have gone on elsewhere; a
-// retry of any other request may end the next engine.
+// A request whose reply had begun may have caused the exit, and a retry may end
+// the next upstream, unless answers under each part of its prompt have gone on
+// elsewhere. Most others were only beside it.
 asio::awaitable<void> Exchange::CheckForExit(const PlacedAttempt& attempt) {
   Router& router = m_gateway.router;
   const bool reply_had_begun = m_last_reply.status != 0;
@@ -427,9 +438,9 @@
     }
     router.RecordProbe(attempt, result, Now());
   }
-  m_is_suspected = reply_had_begun && attempt.events == 0 &&
-                   router.HasExited(attempt) &&
-                   !HadRecentAnswers(router.Quarantine(), attempt.parts, Now());
+  m_is_suspected =
+      reply_had_begun && attempt.events == 0 && router.HasExited(attempt) &&
+      !HadRecentAnswers(router.Quarantine(), attempt.traits, Now());
   if (router.HasExited(attempt)) {
     m_gateway.log.Write(
         LogLevel::kWarning, "upstream-exited",
@@ -440,6 +451,7 @@
          {"reply_begun", reply_had_begun ? "true" : "false"},
          {"events", std::to_string(attempt.events)},
          {"suspected", m_is_suspected ? "true" : "false"},
+         {"trait", fmt::format("{:x}", m_whole_request)},
          {"parts", FormatSharedParts(m_metadata.prompt_parts)}});
   }
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -31,8 +31,8 @@
 
   // Serves the request. Returns false if the connection must be closed.
   boost::asio::awaitable<bool> Serve();
-  // Stops an attempt that has no event yet if a part of its prompt has been
-  // quarantined: its engine would exit.
+  // Stops an attempt that has no event yet if one of its traits has been
+  // quarantined: its upstream would exit.
   void StopIfQuarantined();
 
  private:
@@ -73,7 +73,7 @@
   bool ShouldKeepAlive() const;
   void ArmDeadline();
   void StopAttempt();
-  void LogQuarantine(size_t part_index) const;
+  void LogQuarantine(const RequestTrait& trait) const;
   void LogResult();
 
   GatewayContext& m_gateway;
@@ -85,6 +85,7 @@
   const RoutedAccount* m_account = nullptr;
   RequestMetadata m_metadata;
   ServiceName m_service;
+  TraitId m_whole_request = 0;
   Duration m_timeout{0};  // From arrival; a later reply is useless.
   boost::asio::steady_timer m_deadline;
   bool m_timed_out = false;
--- a/src/gateway/exchange_replies.cc
+++ b/src/gateway/exchange_replies.cc
@@ -18,8 +18,8 @@
           503, "upstream-limit",
           "the upstreams in use have asked for a pause or for fewer requests"};
     case PlacementRefusal::kQuarantined:
-      return {503, "quarantined-prompt",
-              "engines exit under a part of this prompt"};
+      return {503, "quarantined-request",
+              "upstreams exit under this request or a part of its prompt"};
     case PlacementRefusal::kNoUpstream:
       break;
   }
@@ -70,25 +70,31 @@
   co_await SendLocalReply(std::move(reply));
 }
 
-// Names the engines' processes as "upstream-exited" does.
-void Exchange::LogQuarantine(size_t part_index) const {
-  const PromptPart& part = m_metadata.prompt_parts[part_index];
-  const auto found = m_gateway.router.Quarantine().traits.find(part.id);
+// Names the upstreams' processes as "upstream-exited" does.
+void Exchange::LogQuarantine(const RequestTrait& trait) const {
+  const auto& traits = m_gateway.router.Quarantine().traits;
+  const auto found = traits.find(trait.id);
   CountEvent(m_gateway.metrics, "quarantined_requests");
-  if (found == m_gateway.router.Quarantine().traits.end()) {
+  if (found == traits.end()) {
     return;
   }
   const TraitEvidence& evidence = found->second;
   std::string exits;
-  for (const auto& [process, reply_had_begun] : evidence.exits) {
+  for (const auto& [process, is_strong] : evidence.exits) {
     exits += fmt::format("{}{:x}", exits.empty() ? "" : ",", process);
   }
+  std::string part;
+  for (const PromptPart& candidate : m_metadata.prompt_parts) {
+    part = candidate.id == trait.id ? fmt::format("{:x}", candidate.caller_id)
+                                    : part;
+  }
   const Time now = Now();
   m_gateway.log.Write(
-      LogLevel::kInfo, "prompt-quarantined",
+      LogLevel::kInfo, "request-quarantined",
       {{"request", m_metadata.id},
-       {"part", fmt::format("{:x}", part.caller_id)},
-       {"key", fmt::format("{:x}", part.id)},
+       {"kind", std::string(ToString(trait.kind))},
+       {"trait", fmt::format("{:x}", trait.id)},
+       {"part", part},
        {"exited", exits},
        {"known_for_ms",
         fmt::format("{:.0f}", ToMillis(now - evidence.quarantined_at))},
@@ -99,10 +105,7 @@
 
 asio::awaitable<void> Exchange::ReplyAfterAttempt(AttemptEnd end) {
   // These statuses state that a request was not executed, but this one was.
-  const unsigned status = m_last_reply.status;
-  const bool states_not_executed =
-      status == 408 || status == 421 || status == 429 || status == 503;
-  if (end == AttemptEnd::kWhole && !states_not_executed) {
+  if (end == AttemptEnd::kWhole && !StatesNotExecuted(m_last_reply.status)) {
     co_await ForwardReply(m_last_reply);
     co_return;
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -312,24 +312,27 @@
     }
   }
 
-  // Requests that are with an engine already are taken back before they begin.
+  // Requests that are with an upstream already are taken back before they
+  // begin.
   void ApplyQuarantines() {
-    const std::vector<TraitId> parts = m_router.TakeNewQuarantines();
-    for (const TraitId part : parts) {
-      const auto found = m_router.Quarantine().traits.find(part);
+    const std::vector<TraitId> traits = m_router.TakeNewQuarantines();
+    for (const TraitId trait : traits) {
+      const auto found = m_router.Quarantine().traits.find(trait);
       if (found == m_router.Quarantine().traits.end()) {
         continue;
       }
-      CountEvent(m_metrics, "part_quarantines");
+      const TraitEvidence& evidence = found->second;
+      CountEvent(m_metrics, "trait_quarantines");
       m_log.Write(
-          LogLevel::kWarning, "part-quarantined",
-          {{"key", fmt::format("{:x}", part)},
-           {"exits", std::to_string(found->second.exits.size())},
+          LogLevel::kWarning, "trait-quarantined",
+          {{"trait", fmt::format("{:x}", trait)},
+           {"kind", std::string(ToString(evidence.kind))},
+           {"exits", std::to_string(evidence.exits.size())},
+           {"had_answers", evidence.had_answers ? "true" : "false"},
            {"first_exit_ms",
-            fmt::format("{:.0f}",
-                        ToMillis(Now() - found->second.first_exit_at))}});
+            fmt::format("{:.0f}", ToMillis(Now() - evidence.first_exit_at))}});
     }
-    if (!parts.empty()) {
+    if (!traits.empty()) {
       for (Exchange* exchange : m_gateway_context.admitted_exchanges) {
         exchange->StopIfQuarantined();
       }
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -73,15 +73,22 @@
         engines.prefill_ms_per_token, engines.empty_step_ms,
         engines.full_batch_step_ms, engines.observations);
   }
-  const auto& parts = router.Quarantine().traits;
-  out += fmt::format(
-      "pomeloring_quarantined_parts {}\npomeloring_suspected_parts {}\n",
-      std::count_if(
-          parts.begin(), parts.end(),
-          [](const auto& entry) { return entry.second.is_quarantined; }),
-      std::count_if(parts.begin(), parts.end(), [](const auto& entry) {
-        return !entry.second.is_quarantined && !entry.second.exits.empty();
-      }));
+  for (const TraitKind kind :
+       {TraitKind::kPromptPart, TraitKind::kWholeRequest}) {
+    size_t quarantined = 0;
+    size_t suspected = 0;
+    for (const auto& [trait, evidence] : router.Quarantine().traits) {
+      const bool is_of_kind = evidence.kind == kind;
+      quarantined += is_of_kind && evidence.is_quarantined ? 1 : 0;
+      suspected +=
+          is_of_kind && !evidence.is_quarantined && !evidence.exits.empty() ? 1
+                                                                            : 0;
+    }
+    out += fmt::format(
+        "pomeloring_quarantined_traits{{kind=\"{0}\"}} {1}\n"
+        "pomeloring_suspected_traits{{kind=\"{0}\"}} {2}\n",
+        ToString(kind), quarantined, suspected);
+  }
   for (const UpstreamState* upstream : router.AllUpstreams()) {
     const UpstreamLoad load = TotalLoad(*upstream);
     out += fmt::format(
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -34,11 +34,12 @@
 
 void EncodeTraitNotice(const TraitNotice& notice, wire::TraitNotice& out) {
   out.set_trait(notice.trait);
+  out.set_is_whole_request(notice.kind == TraitKind::kWholeRequest);
   out.set_epoch(notice.epoch);
-  for (const auto& [process, reply_had_begun] : notice.exits) {
+  for (const auto& [process, is_strong] : notice.exits) {
     wire::UpstreamExit& exit = *out.add_exits();
     exit.set_process(process);
-    exit.set_reply_had_begun(reply_had_begun);
+    exit.set_is_strong(is_strong);
   }
   out.set_had_answers(notice.had_answers);
   out.set_is_quarantined(notice.is_quarantined);
@@ -59,9 +60,11 @@
 TraitNotice DecodeTraitNotice(const wire::TraitNotice& in) {
   TraitNotice notice;
   notice.trait = in.trait();
+  notice.kind =
+      in.is_whole_request() ? TraitKind::kWholeRequest : TraitKind::kPromptPart;
   notice.epoch = in.epoch();
   for (const wire::UpstreamExit& exit : in.exits()) {
-    notice.exits.emplace_back(exit.process(), exit.reply_had_begun());
+    notice.exits.emplace_back(exit.process(), exit.is_strong());
   }
   notice.had_answers = in.had_answers();
   notice.is_quarantined = in.is_quarantined();
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -72,6 +72,10 @@
   return "unknown";
 }
 
+bool StatesNotExecuted(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 UpstreamAttempt::UpstreamAttempt(GatewayContext& gateway,
                                  Request request,
                                  std::shared_ptr<PlacedAttempt> attempt)
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -29,6 +29,9 @@
 
 std::string_view ToString(AttemptEnd end);
 
+// Whether a reply with this status says that the request has not been executed.
+bool StatesNotExecuted(unsigned status);
+
 // An upstream's reply; of a stream, the head only.
 struct UpstreamReply {
   unsigned status = 0;
--- a/src/routing/exit_watch.cc
+++ b/src/routing/exit_watch.cc
@@ -44,6 +44,10 @@
   return watch.exited.contains(process);
 }
 
+bool HasBroken(const ExitWatch& watch, ProcessId process) {
+  return watch.broken.contains(process) || watch.exited.contains(process);
+}
+
 // A refused connection alone does not show an exit: an instance that is cut off
 // may be refused by all upstreams. One that still hears from another is not.
 std::vector<ConfirmedExit> TakeConfirmedExits(
--- a/src/routing/exit_watch.h
+++ b/src/routing/exit_watch.h
@@ -12,12 +12,6 @@
 
 namespace pomeloring {
 
-// An attempt without an answer whose connection broke.
-struct BrokenAttempt {
-  std::vector<PromptPart> parts;
-  bool reply_had_begun = false;
-};
-
 // Attempts that broke at one process, until it is known whether it has exited.
 struct BrokenProcess {
   UpstreamName upstream;
@@ -54,6 +48,9 @@
   BrokenProcess broken;
 };
 
+// Whether an attempt has broken at the process before.
+bool HasBroken(const ExitWatch& watch, ProcessId process);
+
 // Returns the broken processes that have exited, with the attempts that broke
 // there, once each. `last_byte_of_others` returns when any upstream but the
 // given one last sent a byte.
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -52,7 +52,7 @@
   std::vector<uint32_t> serving;
   // What all upstreams with any Backpressure ask, as far as the sender knows.
   std::vector<UpstreamNotice> notices;
-  // What is known against parts of prompts.
+  // What is known against traits of requests; not all of it each time.
   std::vector<TraitNotice> trait_notices;
 };
 
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "routing/engine_estimate.h"
+#include "routing/request_traits.h"
 #include "routing/routing_config.h"
 #include "routing/upstream_state.h"
 
@@ -51,7 +52,7 @@
   // The only usable upstreams have asked for a pause, or named limits of which
   // this instance has used its share.
   kLimited,
-  kQuarantined,  // Engines exit under a part of its prompt.
+  kQuarantined,  // Upstreams exit under one of its traits.
 };
 
 struct Unplaced {
@@ -68,7 +69,7 @@
   double max_ms = 0;                // Longest one that leaves time to finish.
   double prefill_ms_per_token = 0;  // See EngineEstimate.
   Duration estimate_age{0};
-  size_t quarantined_trait = 0;  // For kQuarantined: index in the prompt.
+  RequestTrait quarantined_trait;  // For kQuarantined.
 };
 
 // The request should wait and be placed later: all upstreams are full, a higher
--- a/src/routing/request_quarantine.cc
+++ b/src/routing/request_quarantine.cc
@@ -1,61 +1,80 @@
 #include "routing/request_quarantine.h"
 
 #include <algorithm>
-#include <optional>
+#include <tuple>
 
 namespace pomeloring {
 namespace {
 
-// An engine that exits takes all its requests with it. Those whose reply had
-// begun without an event are few, most often the one that ended it; any request
-// that still waited for its prefill may be there.
-constexpr size_t kExitsWithReply = 2;
-constexpr size_t kExits = 4;
+// An upstream that exits takes all its requests with it. Strong evidence speaks
+// against few of them, most often against the one that caused it.
+struct ExitThresholds {
+  size_t strong;
+  size_t all;
+};
+// Any request with the part that still waited for its prefill may be there.
+constexpr ExitThresholds kPartThresholds{2, 4};
 // For a part with recent answers: most requests with it cannot be at fault, and
 // the next answer clears it.
-constexpr size_t kExitsWithReplyDespiteAnswers = 3;
-constexpr size_t kExitsDespiteAnswers = 6;
+constexpr ExitThresholds kAnsweredPartThresholds{3, 6};
+// The same request is seldom beside the one at fault again.
+constexpr ExitThresholds kWholeRequestThresholds{2, 3};
+constexpr ExitThresholds kAnsweredWholeRequestThresholds{3, 3};
 constexpr Duration kMinTimeWithoutAnswer = seconds(2);
 // An answer is recent for this long.
 constexpr Duration kAnswerRetention = seconds(30);
 // Without a further exit, what is held against a part expires.
 constexpr Duration kSuspicionRetention = seconds(30);
-// An epoch without evidence is kept until all peers have heard of it.
-constexpr Duration kClearedRetention = seconds(5);
-// Each trial may end an engine: the time to the next one doubles.
+// An epoch without evidence is kept longer than instances are cut off, most of
+// the time: one that has not heard of it would tell its peers the evidence
+// anew.
+constexpr Duration kClearedRetention = seconds(60);
+// Each trial may end an upstream: the next ones come more and more rarely.
 constexpr Duration kFirstTrialDelay = seconds(60);
+constexpr int kTrialDelayFactor = 8;
 constexpr Duration kMaxTrialDelay = seconds(3600);
 constexpr Duration kQuarantineRetention = 2 * kMaxTrialDelay;
-// Parts that the same exits speak against are told apart by a request that has
+// Traits that the same exits speak against are told apart by a request that has
 // only one of them.
 constexpr Duration kAmbiguousTrialDelay = seconds(2);
 // An instance that others precede waits for their trials; word of one reaches
 // it sooner than this.
 constexpr Duration kTrialStagger = seconds(1);
 constexpr size_t kMaxTrialRank = 30;
-// Limits on memory, as callers can invent parts.
+// Limits on memory, as callers can invent traits.
 constexpr size_t kMaxTraits = 128;
 constexpr size_t kMaxExitsPerTrait = 8;
 constexpr size_t kMaxAnswers = 8192;
 
-size_t ExitsWithReply(const TraitEvidence& evidence) {
+size_t StrongExits(const TraitEvidence& evidence) {
   return static_cast<size_t>(
       std::count_if(evidence.exits.begin(), evidence.exits.end(),
                     [](const auto& exit) { return exit.second; }));
 }
 
+bool Reaches(const TraitEvidence& evidence, const ExitThresholds& thresholds) {
+  return StrongExits(evidence) >= thresholds.strong ||
+         evidence.exits.size() >= thresholds.all;
+}
+
+// A request that is sent often may be at many upstreams that exit at the same
+// moment, and has no answer while they are away: only further exits after a
+// while speak against one that had answers.
 bool IsSufficient(const TraitEvidence& evidence, Time now) {
-  const size_t with_reply = ExitsWithReply(evidence);
-  const size_t all = evidence.exits.size();
-  if (!evidence.had_answers) {
-    return with_reply >= kExitsWithReply || all >= kExits;
+  if (evidence.kind == TraitKind::kPromptPart) {
+    return evidence.had_answers
+               ? now - evidence.first_exit_at >= kMinTimeWithoutAnswer &&
+                     Reaches(evidence, kAnsweredPartThresholds)
+               : Reaches(evidence, kPartThresholds);
   }
-  return now - evidence.first_exit_at >= kMinTimeWithoutAnswer &&
-         (with_reply >= kExitsWithReplyDespiteAnswers ||
-          all >= kExitsDespiteAnswers);
+  return evidence.had_answers
+             ? evidence.last_change_at - evidence.first_exit_at >=
+                       kMinTimeWithoutAnswer &&
+                   Reaches(evidence, kAnsweredWholeRequestThresholds)
+             : Reaches(evidence, kWholeRequestThresholds);
 }
 
-// An exit under a quarantined part says nothing about the other parts of the
+// An exit under a quarantined trait says nothing about the other traits of the
 // requests that were there.
 bool IsExplained(const RequestQuarantine& quarantine, ProcessId process) {
   return std::any_of(quarantine.traits.begin(), quarantine.traits.end(),
@@ -66,9 +85,9 @@
 }
 
 bool HasRecentAnswer(const RequestQuarantine& quarantine,
-                     TraitId part,
+                     TraitId trait,
                      Time now) {
-  const auto found = quarantine.last_answers.find(part);
+  const auto found = quarantine.last_answers.find(trait);
   return found != quarantine.last_answers.end() &&
          now - found->second < kAnswerRetention;
 }
@@ -76,18 +95,18 @@
 Duration TrialDelay(uint32_t trials) {
   Duration delay = kFirstTrialDelay;
   for (uint32_t i = 0; i < trials && delay < kMaxTrialDelay; ++i) {
-    delay *= 2;
+    delay *= kTrialDelayFactor;
   }
   return std::min(delay, kMaxTrialDelay);
 }
 
-// Quarantines all parts with sufficient evidence, those with most exits first:
-// what they explain does not count against the others. Parts with the same
+// Quarantines all traits with sufficient evidence, those with most exits first:
+// what they explain does not count against the others. Traits with the same
 // exits are quarantined together.
 std::vector<TraitId> Decide(RequestQuarantine& quarantine, Time now) {
   std::vector<TraitId> decided;
   while (true) {
-    for (auto& [part, evidence] : quarantine.traits) {
+    for (auto& [trait, evidence] : quarantine.traits) {
       if (!evidence.is_quarantined) {
         std::erase_if(evidence.exits, [&](const auto& exit) {
           return IsExplained(quarantine, exit.first);
@@ -95,7 +114,7 @@
       }
     }
     std::vector<std::pair<TraitId, TraitEvidence*>> most;
-    for (auto& [part, evidence] : quarantine.traits) {
+    for (auto& [trait, evidence] : quarantine.traits) {
       if (evidence.is_quarantined || !IsSufficient(evidence, now)) {
         continue;
       }
@@ -104,30 +123,33 @@
         most.clear();
       }
       if (most.empty() || evidence.exits == most.front().second->exits) {
-        most.emplace_back(part, &evidence);
+        most.emplace_back(trait, &evidence);
       }
     }
     if (most.empty()) {
       return decided;
     }
-    for (auto& [part, evidence] : most) {
+    for (auto& [trait, evidence] : most) {
       evidence->is_quarantined = true;
       evidence->quarantined_at = now;
       evidence->last_change_at = now;
+      evidence->updated_at = now;
       evidence->next_trial_at =
           now + (most.size() > 1 ? kAmbiguousTrialDelay : TrialDelay(0));
-      decided.push_back(part);
+      decided.push_back(trait);
     }
   }
 }
 
-// Drops the suspicion that has been without an exit for longest, or else the
-// oldest quarantine.
+// Drops the suspicion with the fewest exits that has been without one for
+// longest, or else the oldest quarantine.
 void LimitTraits(RequestQuarantine& quarantine) {
   while (quarantine.traits.size() > kMaxTraits) {
     const auto order = [](const auto& entry) {
-      return std::pair(entry.second.is_quarantined,
-                       entry.second.last_change_at);
+      const TraitEvidence& evidence = entry.second;
+      return std::tuple(evidence.is_quarantined,
+                        evidence.is_quarantined ? 0 : evidence.exits.size(),
+                        evidence.last_change_at);
     };
     quarantine.traits.erase(std::min_element(
         quarantine.traits.begin(), quarantine.traits.end(),
@@ -135,18 +157,26 @@
   }
 }
 
-void AddExit(TraitEvidence& evidence, ProcessId process, bool reply_had_begun) {
+void AddExit(TraitEvidence& evidence, ProcessId process, bool is_strong) {
   if (evidence.exits.contains(process) ||
       evidence.exits.size() < kMaxExitsPerTrait) {
-    evidence.exits[process] |= reply_had_begun;
+    evidence.exits[process] |= is_strong;
   }
 }
 
+// A part of a prompt is at an upstream with any request that has it, alone or
+// not; only the one whose prefill has ended may have caused the exit.
+bool IsStrong(const BrokenAttempt& attempt, TraitKind kind) {
+  return attempt.reply_had_begun ||
+         (attempt.was_alone && kind == TraitKind::kWholeRequest);
+}
+
 TraitEvidence EvidenceFrom(const TraitNotice& notice, Time now) {
   TraitEvidence evidence;
+  evidence.kind = notice.kind;
   evidence.epoch = notice.epoch;
-  for (const auto& [process, reply_had_begun] : notice.exits) {
-    AddExit(evidence, process, reply_had_begun);
+  for (const auto& [process, is_strong] : notice.exits) {
+    AddExit(evidence, process, is_strong);
   }
   evidence.had_answers = notice.had_answers;
   evidence.is_quarantined = notice.is_quarantined;
@@ -155,6 +185,7 @@
   evidence.last_change_at = now - notice.last_change_age;
   evidence.quarantined_at = now - notice.quarantine_age;
   evidence.next_trial_at = now + notice.until_next_trial;
+  evidence.updated_at = now;
   return evidence;
 }
 
@@ -168,12 +199,14 @@
     return true;
   }
   const auto exits_before = evidence.exits;
-  for (const auto& [process, reply_had_begun] : other.exits) {
-    AddExit(evidence, process, reply_had_begun);
+  for (const auto& [process, is_strong] : other.exits) {
+    AddExit(evidence, process, is_strong);
   }
   const bool has_news = evidence.exits != exits_before ||
                         other.trials > evidence.trials ||
+                        (other.had_answers && !evidence.had_answers) ||
                         (other.is_quarantined && !evidence.is_quarantined);
+  evidence.updated_at = has_news ? other.updated_at : evidence.updated_at;
   evidence.had_answers |= other.had_answers;
   evidence.first_exit_at =
       std::min(evidence.first_exit_at, other.first_exit_at);
@@ -189,35 +222,60 @@
   return has_news;
 }
 
-// Starts a new epoch without evidence. Parts that were quarantined for the same
-// exits are not ambiguous any more.
+// Starts a new epoch without evidence. Traits that were quarantined for the
+// same exits are not ambiguous any more.
 void Clear(RequestQuarantine& quarantine, TraitEvidence& evidence, Time now) {
   if (evidence.is_quarantined) {
-    for (auto& [part, other] : quarantine.traits) {
+    for (auto& [trait, other] : quarantine.traits) {
       if (&other != &evidence && other.is_quarantined &&
           other.exits == evidence.exits) {
+        other.updated_at = now;
         ++other.trials;
         other.next_trial_at = now + TrialDelay(other.trials);
       }
     }
   }
-  const uint32_t epoch = evidence.epoch + 1;
-  evidence = TraitEvidence{};
-  evidence.epoch = epoch;
-  evidence.last_change_at = now;
+  TraitEvidence cleared;
+  cleared.kind = evidence.kind;
+  cleared.epoch = evidence.epoch + 1;
+  cleared.last_change_at = now;
+  cleared.updated_at = now;
+  evidence = cleared;
 }
 
-// Returns the index of the part that decides, and its evidence.
-std::optional<std::pair<size_t, const TraitEvidence*>> FindQuarantined(
-    const RequestQuarantine& quarantine,
-    std::span<const PromptPart> shared,
-    size_t& count) {
-  std::optional<std::pair<size_t, const TraitEvidence*>> found;
-  for (size_t i = 0; i < shared.size(); ++i) {
-    const auto entry = quarantine.traits.find(shared[i].id);
+// Drops the older half: traits in use get their next answer soon.
+void LimitAnswers(RequestQuarantine& quarantine) {
+  auto& answers = quarantine.last_answers;
+  if (answers.size() <= kMaxAnswers) {
+    return;
+  }
+  std::vector<Time> times;
+  for (const auto& [trait, time] : answers) {
+    times.push_back(time);
+  }
+  const auto middle = times.begin() + static_cast<long>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  const size_t before = answers.size();
+  std::erase_if(answers,
+                [&](const auto& answer) { return answer.second < *middle; });
+  if (answers.size() == before) {
+    answers.clear();  // All of one moment.
+  }
+}
+
+struct QuarantinedTrait {
+  RequestTrait trait;  // The last one.
+  const TraitEvidence* evidence = nullptr;
+  size_t count = 0;
+};
+
+QuarantinedTrait FindQuarantined(const RequestQuarantine& quarantine,
+                                 std::span<const RequestTrait> traits) {
+  QuarantinedTrait found;
+  for (const RequestTrait& trait : traits) {
+    const auto entry = quarantine.traits.find(trait.id);
     if (entry != quarantine.traits.end() && entry->second.is_quarantined) {
-      found = {i, &entry->second};
-      ++count;
+      found = {trait, &entry->second, found.count + 1};
     }
   }
   return found;
@@ -230,54 +288,45 @@
                     static_cast<uint64_t>(record.started_at_ms));
 }
 
-std::span<const PromptPart> SharedParts(std::span<const PromptPart> parts) {
-  return parts.empty() ? parts : parts.first(parts.size() - 1);
-}
-
 RequestAssessment AssessRequest(const RequestQuarantine& quarantine,
-                                std::span<const PromptPart> parts,
+                                std::span<const RequestTrait> traits,
                                 size_t rank,
                                 Time now) {
-  const auto shared = SharedParts(parts);
-  if (quarantine.traits.empty() || shared.empty()) {
+  if (quarantine.traits.empty()) {
     return {};
   }
-  size_t count = 0;
-  if (const auto found = FindQuarantined(quarantine, shared, count)) {
-    const auto& [index, evidence] = *found;
+  const QuarantinedTrait found = FindQuarantined(quarantine, traits);
+  if (found.count > 0) {
     const Time trial_at =
-        evidence->next_trial_at +
+        found.evidence->next_trial_at +
         static_cast<int64_t>(std::min(rank, kMaxTrialRank)) * kTrialStagger;
-    // A trial with two quarantined parts would not tell which one it is.
-    if (count == 1 && now >= trial_at) {
-      return {RequestVerdict::kTrial, index, {}};
+    // A trial with two quarantined traits would not tell which one it is.
+    if (found.count == 1 && now >= trial_at) {
+      return {RequestVerdict::kTrial, found.trait, {}};
     }
-    return {RequestVerdict::kRefused, index,
-            std::max(kTrialStagger, evidence->next_trial_at - now)};
+    return {RequestVerdict::kRefused, found.trait,
+            std::max(kTrialStagger, found.evidence->next_trial_at - now)};
   }
-  for (size_t i = shared.size(); i-- > 0;) {
-    const auto entry = quarantine.traits.find(shared[i].id);
+  for (size_t i = traits.size(); i-- > 0;) {
+    const auto entry = quarantine.traits.find(traits[i].id);
     if (entry != quarantine.traits.end() && !entry->second.had_answers &&
-        ExitsWithReply(entry->second) > 0) {
-      return {RequestVerdict::kSuspect, i, {}};
+        StrongExits(entry->second) > 0) {
+      return {RequestVerdict::kSuspect, traits[i], {}};
     }
   }
   return {};
 }
 
-size_t TrialRank(std::span<const PromptPart> parts,
+size_t TrialRank(std::span<const RequestTrait> traits,
                  const RequestQuarantine& quarantine,
                  uint32_t self,
                  std::span<const uint32_t> others) {
-  size_t count = 0;
-  const auto shared = SharedParts(parts);
-  const auto found = FindQuarantined(quarantine, shared, count);
-  if (!found) {
+  const QuarantinedTrait found = FindQuarantined(quarantine, traits);
+  if (found.count == 0) {
     return 0;
   }
   const auto weight = [&](uint32_t instance) {
-    uint64_t seed =
-        shared[found->first].id ^ (uint64_t{instance} << 32 | instance);
+    uint64_t seed = found.trait.id ^ (uint64_t{instance} << 32 | instance);
     return NextRandom(seed);
   };
   const uint64_t own_weight = weight(self);
@@ -286,39 +335,43 @@
       [&](uint32_t other) { return weight(other) > own_weight; }));
 }
 
-void BeginTrial(RequestQuarantine& quarantine, TraitId part, Time now) {
-  TraitEvidence& evidence = quarantine.traits[part];
+void BeginTrial(RequestQuarantine& quarantine, TraitId trait, Time now) {
+  TraitEvidence& evidence = quarantine.traits[trait];
   ++evidence.trials;
   evidence.next_trial_at = now + TrialDelay(evidence.trials);
   evidence.last_change_at = now;
+  evidence.updated_at = now;
 }
 
 std::vector<TraitId> RecordExit(RequestQuarantine& quarantine,
-                                std::span<const PromptPart> parts,
+                                const BrokenAttempt& attempt,
                                 ProcessId process,
-                                bool reply_had_begun,
                                 Time now) {
-  const auto shared = SharedParts(parts);
-  size_t quarantined_parts = 0;
-  FindQuarantined(quarantine, shared, quarantined_parts);
-  for (const PromptPart& part : shared) {
-    const auto known = quarantine.traits.find(part.id);
+  const bool is_explained =
+      FindQuarantined(quarantine, attempt.traits).count > 0;
+  for (const RequestTrait& trait : attempt.traits) {
+    const auto known = quarantine.traits.find(trait.id);
     const bool is_quarantined =
         known != quarantine.traits.end() && known->second.is_quarantined;
-    if (quarantined_parts > 0 && !is_quarantined) {
-      continue;  // Explained by the quarantined part.
+    if (is_explained && !is_quarantined) {
+      continue;
     }
-    const bool had_answers = HasRecentAnswer(quarantine, part.id, now);
-    if (had_answers && !reply_had_begun && known == quarantine.traits.end()) {
+    const bool is_strong = IsStrong(attempt, trait.kind);
+    const bool had_answers = HasRecentAnswer(quarantine, trait.id, now);
+    const bool is_part = trait.kind == TraitKind::kPromptPart;
+    if (is_part && had_answers && !is_strong &&
+        known == quarantine.traits.end()) {
       continue;
     }
-    TraitEvidence& evidence = quarantine.traits[part.id];
+    TraitEvidence& evidence = quarantine.traits[trait.id];
     if (evidence.exits.empty()) {
       evidence.first_exit_at = now;
     }
-    AddExit(evidence, process, reply_had_begun);
+    evidence.kind = trait.kind;
+    AddExit(evidence, process, is_strong);
     evidence.had_answers |= had_answers;
     evidence.last_change_at = now;
+    evidence.updated_at = now;
   }
   auto decided = Decide(quarantine, now);
   LimitTraits(quarantine);
@@ -326,40 +379,40 @@
 }
 
 bool RecordAnswer(RequestQuarantine& quarantine,
-                  std::span<const PromptPart> parts,
+                  std::span<const RequestTrait> traits,
                   Time now) {
   bool has_cleared = false;
-  for (const PromptPart& part : SharedParts(parts)) {
-    quarantine.last_answers[part.id] = now;
-    const auto found = quarantine.traits.find(part.id);
+  for (const RequestTrait& trait : traits) {
+    quarantine.last_answers[trait.id] = now;
+    const auto found = quarantine.traits.find(trait.id);
     if (found != quarantine.traits.end() && !found->second.exits.empty()) {
       Clear(quarantine, found->second, now);
       has_cleared = true;
     }
   }
-  if (quarantine.last_answers.size() > kMaxAnswers) {
-    // An arbitrary half: a part in use gets its next answer soon.
-    size_t index = 0;
-    std::erase_if(quarantine.last_answers,
-                  [&](const auto&) { return ++index % 2 == 0; });
-  }
+  LimitAnswers(quarantine);
   return has_cleared;
 }
 
 bool HadRecentAnswers(const RequestQuarantine& quarantine,
-                      std::span<const PromptPart> parts,
+                      std::span<const RequestTrait> traits,
                       Time now) {
-  const auto shared = SharedParts(parts);
-  return std::all_of(shared.begin(), shared.end(), [&](const auto& part) {
-    return HasRecentAnswer(quarantine, part.id, now);
+  return std::all_of(traits.begin(), traits.end(), [&](const auto& trait) {
+    return trait.kind != TraitKind::kPromptPart ||
+           HasRecentAnswer(quarantine, trait.id, now);
   });
 }
 
 std::vector<TraitNotice> MakeTraitNotices(const RequestQuarantine& quarantine,
+                                          Time since,
                                           Time now) {
   std::vector<TraitNotice> notices;
-  for (const auto& [part, evidence] : quarantine.traits) {
-    notices.push_back({part,
+  for (const auto& [trait, evidence] : quarantine.traits) {
+    if (evidence.updated_at < since) {
+      continue;
+    }
+    notices.push_back({trait,
+                       evidence.kind,
                        evidence.epoch,
                        {evidence.exits.begin(), evidence.exits.end()},
                        evidence.had_answers,
@@ -396,8 +449,11 @@
       if (answer->second >= evidence.first_exit_at) {
         Clear(quarantine, evidence, now);
         result.has_changes = true;
-      } else {
-        evidence.had_answers |= HasRecentAnswer(quarantine, notice.trait, now);
+      } else if (!evidence.had_answers &&
+                 HasRecentAnswer(quarantine, notice.trait, now)) {
+        evidence.had_answers = true;
+        evidence.updated_at = now;
+        result.has_changes = true;
       }
     }
     if (evidence.is_quarantined && !was_quarantined) {
--- a/src/routing/request_quarantine.h
+++ b/src/routing/request_quarantine.h
@@ -1,5 +1,5 @@
-// Defines RequestQuarantine: which parts of prompts make engines exit, as
-// observed by all instances together. Requests with such a part are refused.
+// Defines RequestQuarantine: which traits of requests make upstreams exit, as
+// observed by all instances together. Requests with such a trait are refused.
 
 #ifndef POMELORING_ROUTING_REQUEST_QUARANTINE_H_
 #define POMELORING_ROUTING_REQUEST_QUARANTINE_H_
@@ -11,27 +11,26 @@
 #include <vector>
 
 #include "core/ids.h"
-#include "routing/upstream_state.h"
+#include "routing/request_traits.h"
 
 namespace pomeloring {
 
-// A part of a prompt; see PromptPart::id.
-using TraitId = uint64_t;
-// One process of an engine; see ProcessIdOf().
+// One process of an upstream; see ProcessIdOf().
 using ProcessId = uint64_t;
 
 ProcessId ProcessIdOf(const UpstreamRecord& record);
 
-// What is known against one part. It is replaced by that of a higher epoch and
+// What is known against one trait. It is replaced by that of a higher epoch and
 // merged with that of the same one, so that all instances agree in the end,
 // whatever the order of their notices.
 struct TraitEvidence {
-  // Rises when an answer to a prompt with the part has gone on.
+  TraitKind kind = TraitKind::kPromptPart;
+  // Rises when an answer to a request with the trait has gone on.
   uint32_t epoch = 0;
-  // Engines that exited while a request with the part had no answer there, and
-  // whether its reply had begun.
+  // Upstreams that exited while a request with the trait had no answer there,
+  // and whether that is strong evidence; see BrokenAttempt.
   std::map<ProcessId, bool> exits;
-  // Answers to prompts with the part had gone on shortly before the first exit.
+  // Answers under the trait had gone on shortly before the first exit.
   bool had_answers = false;
   bool is_quarantined = false;
   // Trials so far; see AssessRequest().
@@ -40,11 +39,14 @@
   Time last_change_at;
   Time quarantined_at;
   Time next_trial_at;
+  // When this instance last observed anything or heard news.
+  Time updated_at;
 };
 
 // TraitEvidence as sent to peers; times are relative to the sending.
 struct TraitNotice {
   TraitId trait = 0;
+  TraitKind kind = TraitKind::kPromptPart;
   uint32_t epoch = 0;
   std::vector<std::pair<ProcessId, bool>> exits;
   bool had_answers = false;
@@ -56,70 +58,78 @@
   Duration until_next_trial{0};  // May be negative.
 };
 
+// An attempt without an answer whose connection broke when its upstream exited.
+struct BrokenAttempt {
+  std::vector<RequestTrait> traits;
+  bool reply_had_begun = false;
+  // No other attempt was known to be at the upstream.
+  bool was_alone = false;
+};
+
 struct RequestQuarantine {
   // Limited in size; see the source.
   std::map<TraitId, TraitEvidence> traits;
-  // When an answer under a part last went on at this instance.
+  // When an answer under a trait last went on at this instance.
   std::unordered_map<TraitId, Time> last_answers;
 };
 
 enum class RequestVerdict {
   kAllowed,
-  // An engine has exited under a part that no answer has cleared. Requests with
-  // it are sent to one engine only, the same for all instances.
+  // There is strong evidence against a trait that no answer has cleared.
+  // Requests with it are sent to one upstream only, the same for all instances.
   kSuspect,
-  kTrial,    // Tells whether engines still exit under the part.
-  kRefused,  // A part is quarantined.
+  kTrial,    // Tells whether upstreams still exit under the trait.
+  kRefused,  // A trait is quarantined.
 };
 
 struct RequestAssessment {
   RequestVerdict verdict = RequestVerdict::kAllowed;
-  size_t part_index = 0;    // Of the part that decides, unless kAllowed.
+  RequestTrait trait;       // The one that decides, unless kAllowed.
   Duration retry_after{0};  // For kRefused: until the next trial.
 };
 
-// Returns the parts that other requests may share: all but the last, which
-// belongs to the request or its session.
-std::span<const PromptPart> SharedParts(std::span<const PromptPart> parts);
-
-// Decides about a request with the prompt `parts`. Trials are spread over the
-// instances: `rank` is this one's place in an order that differs between parts;
-// see TrialRank().
+// Decides about a request with `traits`. Trials are spread over the instances:
+// `rank` is this one's place in an order that differs between traits; see
+// TrialRank().
 RequestAssessment AssessRequest(const RequestQuarantine& quarantine,
-                                std::span<const PromptPart> parts,
+                                std::span<const RequestTrait> traits,
                                 size_t rank,
                                 Time now);
 
 // Returns how many of the instances `others` come before `self` in the order of
-// trials of the prompt's quarantined part. Both are ShortHash() of instances.
-size_t TrialRank(std::span<const PromptPart> parts,
+// trials of the request's quarantined trait. Both are ShortHash() of instances.
+size_t TrialRank(std::span<const RequestTrait> traits,
                  const RequestQuarantine& quarantine,
                  uint32_t self,
                  std::span<const uint32_t> others);
 
-// Records that a trial of the part begins, which postpones the next one.
-void BeginTrial(RequestQuarantine& quarantine, TraitId part, Time now);
+// Records that a trial of the trait begins, which postpones the next one.
+void BeginTrial(RequestQuarantine& quarantine, TraitId trait, Time now);
 
-// Records that an engine has exited while a request with `parts` had no answer
-// there. Returns the parts that are quarantined by it.
+// Records that an upstream has exited under `attempt`. Returns the traits that
+// are quarantined by it.
 std::vector<TraitId> RecordExit(RequestQuarantine& quarantine,
-                                std::span<const PromptPart> parts,
+                                const BrokenAttempt& attempt,
                                 ProcessId process,
-                                bool reply_had_begun,
                                 Time now);
 
-// Records that an answer to a prompt with `parts` has gone on beyond its first
-// event, which clears them. Returns whether anything was held against one.
+// Records that an answer to a request with `traits` is complete or has gone on
+// beyond its first event, which clears them. Returns whether anything was held
+// against one.
 bool RecordAnswer(RequestQuarantine& quarantine,
-                  std::span<const PromptPart> parts,
+                  std::span<const RequestTrait> traits,
                   Time now);
 
-// Whether answers under each of the shared parts have gone on recently.
+// Whether answers under each part of the prompt among `traits` have gone on
+// recently.
 bool HadRecentAnswers(const RequestQuarantine& quarantine,
-                      std::span<const PromptPart> parts,
+                      std::span<const RequestTrait> traits,
                       Time now);
 
+// Returns a notice of each trait whose evidence was updated at `since` or
+// later.
 std::vector<TraitNotice> MakeTraitNotices(const RequestQuarantine& quarantine,
+                                          Time since,
                                           Time now);
 
 struct TraitNoticeResult {
@@ -130,8 +140,8 @@
                                     std::span<const TraitNotice> notices,
                                     Time now);
 
-// Quarantines the parts whose evidence has become sufficient with time, and
-// drops what has expired. Returns the parts quarantined.
+// Quarantines the traits whose evidence has become sufficient with time, and
+// drops what has expired. Returns the traits quarantined.
 std::vector<TraitId> TickQuarantine(RequestQuarantine& quarantine, Time now);
 
 }  // namespace pomeloring
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -19,7 +19,7 @@
 
 // Removes all candidates but one, which is the same at all instances with the
 // same candidates.
-void KeepOneFor(TraitId part,
+void KeepOneFor(TraitId trait,
                 std::span<const UpstreamName> excluded,
                 std::vector<UpstreamState*>& candidates) {
   std::erase_if(candidates, [&](const UpstreamState* candidate) {
@@ -27,7 +27,7 @@
            excluded.end();
   });
   const auto weight = [&](const UpstreamState* candidate) {
-    uint64_t seed = part ^ candidate->name_hash;
+    uint64_t seed = trait ^ candidate->name_hash;
     return NextRandom(seed);
   };
   const auto chosen = std::max_element(
@@ -244,17 +244,17 @@
   });
 }
 
-RequestAssessment Router::Assess(std::span<const PromptPart> parts,
+RequestAssessment Router::Assess(std::span<const RequestTrait> traits,
                                  Time now) const {
-  RequestAssessment assessment = AssessRequest(m_quarantine, parts, 0, now);
+  RequestAssessment assessment = AssessRequest(m_quarantine, traits, 0, now);
   if (assessment.verdict != RequestVerdict::kTrial) {
     return assessment;
   }
   const std::set<uint32_t> others = ServingPeerHashes(now);
   const std::vector<uint32_t> hashes(others.begin(), others.end());
   const size_t rank =
-      TrialRank(parts, m_quarantine, ShortHash(m_settings.name), hashes);
-  return AssessRequest(m_quarantine, parts, rank, now);
+      TrialRank(traits, m_quarantine, ShortHash(m_settings.name), hashes);
+  return AssessRequest(m_quarantine, traits, rank, now);
 }
 
 StartAttemptResult Router::StartAttempt(const AttemptRequest& request,
@@ -263,10 +263,11 @@
   if (service == m_config->services.end()) {
     return Unplaced{PlacementRefusal::kNoUpstream, milliseconds(300)};
   }
-  const RequestAssessment prompt = Assess(request.parts, now);
-  if (prompt.verdict == RequestVerdict::kRefused) {
-    Unplaced unplaced{PlacementRefusal::kQuarantined, prompt.retry_after};
-    unplaced.quarantined_trait = prompt.part_index;
+  const auto traits = TraitsOf(request.parts, request.whole_request);
+  const RequestAssessment assessment = Assess(traits, now);
+  if (assessment.verdict == RequestVerdict::kRefused) {
+    Unplaced unplaced{PlacementRefusal::kQuarantined, assessment.retry_after};
+    unplaced.quarantined_trait = assessment.trait;
     return unplaced;
   }
   auto candidates = CollectCandidates(request.service, now);
@@ -275,9 +276,8 @@
       return candidate->record.software_version != *request.software_version;
     });
   }
-  if (prompt.verdict == RequestVerdict::kSuspect) {
-    KeepOneFor(request.parts[prompt.part_index].id, request.excluded,
-               candidates);
+  if (assessment.verdict == RequestVerdict::kSuspect) {
+    KeepOneFor(assessment.trait.id, request.excluded, candidates);
   }
   for (UpstreamState* candidate : candidates) {
     DecayPrefillLoads(*candidate, now);
@@ -322,9 +322,10 @@
                       now);
   }
   attempt->parts = request.parts;
-  attempt->is_trial = prompt.verdict == RequestVerdict::kTrial;
+  attempt->traits = traits;
+  attempt->is_trial = assessment.verdict == RequestVerdict::kTrial;
   if (attempt->is_trial) {
-    BeginTrial(m_quarantine, request.parts[prompt.part_index].id, now);
+    BeginTrial(m_quarantine, assessment.trait.id, now);
     m_has_pending_changes = true;
   }
   attempt->prompt_tokens = request.prompt_tokens;
@@ -398,9 +399,7 @@
     const uint64_t tokens = attempt.events * attempt.tokens_per_event;
     RecordCompleteRun(m_engines[attempt.service], attempt.route,
                       static_cast<double>(tokens), now - attempt.started);
-    if (attempt.events > 0 && attempt.events < kEventsOfAnswer) {
-      m_has_pending_changes |= RecordAnswer(m_quarantine, attempt.parts, now);
-    }
+    RecordAnswer(attempt, now);
   }
   RecordUpstreamOutcome(attempt.upstream->health, outcome, 0, now);
   MarkLoadChanged(attempt);
@@ -410,7 +409,15 @@
                                    uint64_t events_before,
                                    Time now) {
   if (events_before < kEventsOfAnswer && attempt.events >= kEventsOfAnswer) {
-    m_has_pending_changes |= RecordAnswer(m_quarantine, attempt.parts, now);
+    m_has_pending_changes |=
+        pomeloring::RecordAnswer(m_quarantine, attempt.traits, now);
+  }
+}
+
+void Router::RecordAnswer(const PlacedAttempt& attempt, Time now) {
+  if (attempt.events < kEventsOfAnswer) {
+    m_has_pending_changes |=
+        pomeloring::RecordAnswer(m_quarantine, attempt.traits, now);
   }
 }
 
@@ -453,18 +460,22 @@
 
 // --- Exits -------------------------------------------------------------------
 
-// An upstream that leaves exits as planned, whatever runs there.
+// An upstream that leaves exits as planned, whatever runs there. Its load holds
+// this attempt no more; digests of the load of peers are some 40 ms old.
 void Router::RecordBreak(const PlacedAttempt& attempt,
                          bool reply_had_begun,
                          Time now) {
   const UpstreamState& upstream = CurrentState(attempt);
-  if (attempt.events >= kEventsOfAnswer || attempt.parts.size() < 2 ||
+  if (attempt.events >= kEventsOfAnswer || attempt.traits.empty() ||
       upstream.record.draining || upstream.backpressure.is_leaving) {
     return;
   }
+  const bool was_alone =
+      TotalLoad(*attempt.upstream).running == 0 &&
+      !HasBroken(m_exits, ProcessIdOf(attempt.upstream->record));
   pomeloring::RecordBreak(
       m_exits, attempt.upstream->record,
-      {attempt.parts, reply_had_begun && attempt.events == 0}, now);
+      {attempt.traits, reply_had_begun && attempt.events == 0, was_alone}, now);
   ProcessExits(now);
 }
 
@@ -486,7 +497,7 @@
 
 bool Router::IsQuarantined(const PlacedAttempt& attempt, Time now) const {
   return !attempt.is_trial &&
-         Assess(attempt.parts, now).verdict == RequestVerdict::kRefused;
+         Assess(attempt.traits, now).verdict == RequestVerdict::kRefused;
 }
 
 void Router::ProcessExits(Time now) {
@@ -510,16 +521,16 @@
   for (const ConfirmedExit& exit :
        TakeConfirmedExits(m_exits, is_registered, last_byte_of_others, now)) {
     for (const BrokenAttempt& attempt : exit.broken.attempts) {
-      AddQuarantines(RecordExit(m_quarantine, attempt.parts, exit.process,
-                                attempt.reply_had_begun, now));
+      AddQuarantines(RecordExit(m_quarantine, attempt, exit.process, now));
     }
     m_has_pending_changes = true;
   }
 }
 
-void Router::AddQuarantines(const std::vector<TraitId>& parts) {
-  m_new_quarantines.insert(m_new_quarantines.end(), parts.begin(), parts.end());
-  m_has_pending_changes |= !parts.empty();
+void Router::AddQuarantines(const std::vector<TraitId>& traits) {
+  m_new_quarantines.insert(m_new_quarantines.end(), traits.begin(),
+                           traits.end());
+  m_has_pending_changes |= !traits.empty();
 }
 
 std::vector<TraitId> Router::TakeNewQuarantines() {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -50,11 +50,12 @@
   Placement placement;
   ServiceName service;
   std::vector<PromptPart> parts;
+  std::vector<RequestTrait> traits;
   uint32_t prompt_tokens = 0;
   Time started;
   // No prefill was pending at the upstream when the attempt started.
   bool no_prefill_ahead = false;
-  // Tells whether engines still exit under a part; see AssessRequest().
+  // Tells whether upstreams still exit under a trait; see AssessRequest().
   bool is_trial = false;
   bool has_first_event = false;
   std::string route;
@@ -70,6 +71,7 @@
   ServiceName service;
   uint32_t prompt_tokens = 0;
   std::vector<PromptPart> parts;
+  TraitId whole_request = 0;  // See IdOfRequest(); 0 if unknown.
   Duration waited{0};
   Duration time_left{0};
   std::vector<UpstreamName> excluded;
@@ -144,10 +146,13 @@
   bool HasExited(const PlacedAttempt& attempt) const;
   // Whether attempts have broken at the upstream and it is not known why.
   bool IsExitPossible(const PlacedAttempt& attempt) const;
-  // Whether the attempt has a quarantined part and is not a trial of it.
+  // Records that the upstream has replied, whatever the reply says, and that
+  // its process is alive.
+  void RecordAnswer(const PlacedAttempt& attempt, Time now);
+  // Whether the attempt has a quarantined trait and is not a trial of it.
   bool IsQuarantined(const PlacedAttempt& attempt, Time now) const;
   const RequestQuarantine& Quarantine() const { return m_quarantine; }
-  // Returns the parts quarantined since the last call.
+  // Returns the traits quarantined since the last call.
   std::vector<TraitId> TakeNewQuarantines();
   // Records what the reply to an attempt asks of this instance.
   BackpressureChange RecordReply(PlacedAttempt& attempt,
@@ -238,17 +243,21 @@
   bool WasHigherPriorityRefused(const AttemptRequest& request, Time now) const;
   std::vector<UpstreamState*> CollectCandidates(const ServiceName& service,
                                                 Time now);
-  RequestAssessment Assess(std::span<const PromptPart> parts, Time now) const;
+  RequestAssessment Assess(std::span<const RequestTrait> traits,
+                           Time now) const;
   void RecordAnswerIfGoingOn(const PlacedAttempt& attempt,
                              uint64_t events_before,
                              Time now);
   void ProcessExits(Time now);
   void UpdateVersions(Time now);
-  void AddQuarantines(const std::vector<TraitId>& parts);
+  void AddQuarantines(const std::vector<TraitId>& traits);
+  // Returns what peers are told of traits this time. `last_full` is when all
+  // was last told to the same peers.
+  std::vector<TraitNotice> TakeTraitNotices(Time& last_full, Time now) const;
   // Updates `m_states` and `m_by_service` from the records of `changed`.
   void SyncStates(std::span<const UpstreamName> changed, Time now);
   void DropPeerLoads(const InstanceName& peer);
-  PeerDigest MakeDigestHeader(bool leaving, bool reads_store, Time now);
+  PeerDigest MakeDigestHeader(bool leaving, bool reads_store);
   void QueuePart(const UpstreamState& upstream, uint64_t part, Time now);
   // Marks the load at the attempt's upstream as changed, for the next digests.
   void MarkLoadChanged(const PlacedAttempt& attempt);
@@ -299,6 +308,9 @@
   // The same for the loads of a relay's group.
   std::set<UpstreamName> m_changed_group_loads;
   Time m_last_full_group_digest;
+  // When a digest last held all trait notices.
+  Time m_all_traits_sent_at;
+  Time m_all_traits_relayed_at;
   InstanceName m_last_relayed_by;
   uint64_t m_digest_sequence = 0;
   bool m_has_pending_changes = false;
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -17,6 +17,11 @@
 // traffic between failure domains. A lost change is corrected by the next full
 // digest.
 constexpr Duration kFullDigestInterval = milliseconds(400);
+// Evidence against a trait is repeated in all digests for this long, against
+// lost ones, and in one digest in kAllTraitsInterval after that, for instances
+// that have started since.
+constexpr Duration kTraitRepeatTime = milliseconds(500);
+constexpr Duration kAllTraitsInterval = seconds(1);
 // In tokens. A smaller load says nothing about an upstream's next seconds.
 constexpr double kMinReportedPrefillLoad = 500;
 
@@ -61,7 +66,16 @@
   m_has_pending_changes = true;
 }
 
-PeerDigest Router::MakeDigestHeader(bool leaving, bool reads_store, Time now) {
+std::vector<TraitNotice> Router::TakeTraitNotices(Time& last_full,
+                                                  Time now) const {
+  if (now - last_full >= kAllTraitsInterval) {
+    last_full = now;
+    return MakeTraitNotices(m_quarantine, {}, now);
+  }
+  return MakeTraitNotices(m_quarantine, now - kTraitRepeatTime, now);
+}
+
+PeerDigest Router::MakeDigestHeader(bool leaving, bool reads_store) {
   PeerDigest digest;
   digest.sender = m_settings.name;
   digest.incarnation = m_settings.incarnation;
@@ -73,7 +87,6 @@
   digest.upstreams_hash = m_table.hash;
   digest.reads_store = reads_store;
   digest.notices = BuildNotices();
-  digest.trait_notices = MakeTraitNotices(m_quarantine, now);
   return digest;
 }
 
@@ -81,7 +94,8 @@
                                bool reads_store,
                                Time now,
                                const InstanceName& relayed_by) {
-  PeerDigest digest = MakeDigestHeader(leaving, reads_store, now);
+  PeerDigest digest = MakeDigestHeader(leaving, reads_store);
+  digest.trait_notices = TakeTraitNotices(m_all_traits_sent_at, now);
   digest.relayed_by = relayed_by;
   // This digest does not contain the group's loads, so that other relays miss
   // their changes: the next group digest has to be a full one.
@@ -117,7 +131,8 @@
 }
 
 PeerDigest Router::BuildGroupDigest(bool leaving, bool reads_store, Time now) {
-  PeerDigest digest = MakeDigestHeader(leaving, reads_store, now);
+  PeerDigest digest = MakeDigestHeader(leaving, reads_store);
+  digest.trait_notices = TakeTraitNotices(m_all_traits_sent_at, now);
   digest.scope = DigestScope::kGroup;
   // This digest contains the local loads only as a part of the group's: the
   // next digest of local loads alone has to be a full one.
@@ -157,6 +172,7 @@
 std::vector<std::pair<InstanceName, PeerDigest>>
 Router::BuildRelayedDigests(bool leaving, bool reads_store, Time now) {
   const auto parts = TakeFront(m_parts_to_relay);
+  const auto notices = TakeTraitNotices(m_all_traits_relayed_at, now);
   const std::set<uint32_t> serving = ServingPeerHashes(now);
   std::vector<std::pair<UpstreamState*, UpstreamLoad>> totals;
   for (const auto& [name, state] : m_states) {
@@ -168,7 +184,8 @@
     if (!IsRelayedHere(peer, now)) {
       continue;
     }
-    PeerDigest digest = MakeDigestHeader(leaving, reads_store, now);
+    PeerDigest digest = MakeDigestHeader(leaving, reads_store);
+    digest.trait_notices = notices;
     digest.scope = DigestScope::kAll;
     digest.reads_store = reads_store || HasOtherReader(name, now);
     digest.serving.assign(serving.begin(), serving.end());
--- a/test/routing/engine_exits_quarantine_one_part_test.cc
+++ b/test/routing/engine_exits_quarantine_one_part_test.cc
@@ -214,8 +214,10 @@
 TEST_CASE("What callers invent takes bounded memory") {
   RequestQuarantine quarantine;
   for (TraitId part = 1; part < 20'000; ++part) {
-    RecordExit(quarantine, Prompt({part}), part, true, kStart);
-    RecordAnswer(quarantine, Prompt({part + 100'000}), kStart);
+    RecordExit(quarantine, {TraitsOf(Prompt({part}), part + 1'000'000), true},
+               part, kStart);
+    RecordAnswer(quarantine,
+                 TraitsOf(Prompt({part + 100'000}), part + 2'000'000), kStart);
   }
   CHECK(quarantine.traits.size() <= 128);
   CHECK(quarantine.last_answers.size() <= 8192);
