--- a/test/routing/large_fleet_shares_loads_test.cc
+++ b/test/routing/large_fleet_shares_loads_test.cc
@@ -7,8 +7,8 @@
 
 #include <memory>
 
-#include "routing/digest_relay.h"
 #include "routing/store_readers.h"
+#include "support/relayed_fleet.h"
 #include "support/routing_site.h"
 
 namespace pomeloring {
@@ -17,72 +17,6 @@
 constexpr Time kNow{seconds(1000)};
 constexpr int kEngines = 4;
 
-struct Instance {
-  RelayCandidate candidate;
-  std::unique_ptr<Router> router;
-  InstanceName relay;  // Empty for a relay.
-};
-
-using Fleet = std::map<InstanceName, Instance>;
-
-RelayCandidate Candidate(int number, uint32_t capacity) {
-  return {{fmt::format("n{:03}", number)},
-          {fmt::format("d{}", number % 3)},
-          capacity};
-}
-
-// Every eighth instance has a large capacity.
-Fleet MakeFleet(int size) {
-  Fleet fleet;
-  std::vector<RelayCandidate> live;
-  for (int i = 0; i < size; ++i) {
-    live.push_back(Candidate(i, i % 8 == 0 ? 200 : 10));
-  }
-  const auto relays = ChooseRelays(live);
-  for (const RelayCandidate& candidate : live) {
-    Instance instance{
-        candidate, ReadyRouter(kEngines, kNow, candidate.name), {}};
-    const bool is_chosen = std::any_of(
-        relays.begin(), relays.end(),
-        [&](const auto& relay) { return relay.name == candidate.name; });
-    instance.router->SetRelaying(is_chosen);
-    if (!is_chosen) {
-      instance.relay = *ChooseRelayFor(candidate, relays, {});
-    }
-    fleet[candidate.name] = std::move(instance);
-  }
-  return fleet;
-}
-
-// Every instance sends its digests once.
-void ExchangeDigests(Fleet& fleet, Time now) {
-  for (auto& [name, instance] : fleet) {
-    if (!instance.relay.value.empty()) {
-      fleet[instance.relay].router->HandleDigest(
-          instance.router->BuildDigest(false, false, now, instance.relay), now);
-    }
-  }
-  for (auto& [name, instance] : fleet) {
-    if (instance.relay.value.empty()) {
-      const PeerDigest digest =
-          instance.router->BuildGroupDigest(false, false, now);
-      for (auto& [other_name, other] : fleet) {
-        if (other.relay.value.empty() && other_name != name) {
-          other.router->HandleDigest(digest, now);
-        }
-      }
-    }
-  }
-  for (auto& [name, instance] : fleet) {
-    if (instance.relay.value.empty()) {
-      for (const auto& [receiver, digest] :
-           instance.router->BuildRelayedDigests(false, false, now)) {
-        fleet[receiver].router->HandleDigest(digest, now);
-      }
-    }
-  }
-}
-
 uint32_t RunningSeen(const Router& router) {
   uint32_t running = 0;
   for (const UpstreamState* upstream : router.AllUpstreams()) {
@@ -92,7 +26,7 @@
 }
 
 std::map<InstanceName, std::shared_ptr<PlacedAttempt>> StartOneEach(
-    Fleet& fleet) {
+    RelayedFleet& fleet) {
   std::map<InstanceName, std::shared_ptr<PlacedAttempt>> attempts;
   for (auto& [name, instance] : fleet) {
     const auto attempt = instance.router->StartAttempt(
@@ -104,7 +38,7 @@
 }
 
 TEST_CASE("Each of 88 instances counts the load of all others once") {
-  Fleet fleet = MakeFleet(88);
+  RelayedFleet fleet = MakeFleet(88, kEngines, kNow);
   StartOneEach(fleet);
   for (int round = 1; round <= 3; ++round) {
     ExchangeDigests(fleet, kNow + milliseconds(40 * round));
@@ -119,7 +53,7 @@
 }
 
 TEST_CASE("Attempts that end between full digests are removed everywhere") {
-  Fleet fleet = MakeFleet(40);
+  RelayedFleet fleet = MakeFleet(40, kEngines, kNow);
   auto attempts = StartOneEach(fleet);
   ExchangeDigests(fleet, kNow);
   ExchangeDigests(fleet, kNow + milliseconds(40));
@@ -139,7 +73,7 @@
 
 TEST_CASE("The digests that an instance receives do not grow with the fleet") {
   for (const int size : {88, 320}) {
-    Fleet fleet = MakeFleet(size);
+    RelayedFleet fleet = MakeFleet(size, kEngines, kNow);
     ExchangeDigests(fleet, kNow);
     for (const auto& [name, instance] : fleet) {
       CAPTURE(name.value);
@@ -152,7 +86,7 @@
 }
 
 TEST_CASE("An instance that switches to another relay is not counted twice") {
-  Fleet fleet = MakeFleet(40);
+  RelayedFleet fleet = MakeFleet(40, kEngines, kNow);
   StartOneEach(fleet);
   ExchangeDigests(fleet, kNow);
   std::vector<InstanceName> relays;
@@ -180,7 +114,7 @@
 }
 
 TEST_CASE("A part that was cached for one instance is known to all") {
-  Fleet fleet = MakeFleet(40);
+  RelayedFleet fleet = MakeFleet(40, kEngines, kNow);
   Router& router = *fleet.rbegin()->second.router;
   AttemptRequest request = RequestOn(router, "draft", 5000);
   request.parts = {{77, 4000}};
@@ -201,18 +135,18 @@
     "Relays have the highest capacity; near ones first and silent ones last") {
   std::vector<RelayCandidate> live;
   for (int i = 0; i < 16; ++i) {
-    live.push_back(Candidate(i, 10));
+    live.push_back(NumberedCandidate(i, 10));
   }
   CHECK(ChooseRelays(live).empty());
   for (int i = 16; i < 64; ++i) {
-    live.push_back(Candidate(i, i < 20 ? 200 : 10));
+    live.push_back(NumberedCandidate(i, i < 20 ? 200 : 10));
   }
   const auto relays = ChooseRelays(live);
   REQUIRE(relays.size() == 4);
   for (const RelayCandidate& relay : relays) {
     CHECK(relay.capacity == 200);
   }
-  const RelayCandidate self = Candidate(30, 10);
+  const RelayCandidate self = NumberedCandidate(30, 10);
   const auto near = ChooseRelayFor(self, relays, {});
   REQUIRE(near);
   CHECK(std::stoi(near->value.substr(1)) % 3 == 0);
