--- a/src/routing/request_quarantine.cc
+++ b/src/routing/request_quarantine.cc
@@ -250,6 +250,7 @@
     return;
   }
   std::vector<Time> times;
+  times.reserve(answers.size());
   for (const auto& [trait, time] : answers) {
     times.push_back(time);
   }
