--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -611,6 +611,7 @@
   UpdateVersions(now);
   ProcessExits(now);
   AddQuarantines(TickQuarantine(m_quarantine, now));
+  ForgetRemovals(m_table, now - kDepartedRetention);
   std::erase_if(m_departed, [&](const auto& entry) {
     return now - entry.second.departed_at >= kDepartedRetention;
   });
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -112,6 +112,18 @@
   return changed;
 }
 
+void ForgetRemovals(UpstreamTable& table, Time before) {
+  std::erase_if(table.entries, [&](const auto& entry) {
+    const UpstreamEntry& known = entry.second;
+    const bool is_forgotten = !known.record && known.changed < before;
+    if (is_forgotten) {
+      table.removals_since =
+          std::max(table.removals_since, LogOffset{known.offset.value + 1});
+    }
+    return is_forgotten;
+  });
+}
+
 UpstreamUpdate UpdateSince(const UpstreamTable& table, LogOffset known) {
   UpstreamUpdate update;
   update.as_of = table.as_of;
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -92,6 +92,10 @@
 // Returns what a peer lacks whose table is as of `known`; 0 if it has none.
 UpstreamUpdate UpdateSince(const UpstreamTable& table, LogOffset known);
 
+// Forgets removals from before `before`. Peers that have not heard of them get
+// the whole list.
+void ForgetRemovals(UpstreamTable& table, Time before);
+
 // Applies a complete list as of `as_of`, ignoring one that is older than the
 // table. Returns the ids whose routing has changed.
 std::vector<UpstreamName> ApplyList(UpstreamTable& table,
--- a/test/fuzz/upstream_tables_converge_test.cc
+++ b/test/fuzz/upstream_tables_converge_test.cc
@@ -1,6 +1,7 @@
-// Whatever the order of lists, reads, updates between peers, restarts and lost
-// or repeated messages: no table holds a registration that had ended before the
-// table's position, and all tables equal the store's in the end.
+// Whatever the order of lists, reads, updates between peers, restarts, lost or
+// repeated messages and forgotten removals: no table holds a registration that
+// had ended before the table's position, and all tables equal the store's in
+// the end.
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
@@ -13,7 +14,9 @@
 namespace pomeloring {
 namespace {
 
-constexpr Time kNow{seconds(1000)};
+constexpr Time kStart{seconds(1000)};
+// Longer than removals are remembered.
+constexpr Duration kLongTime = seconds(700);
 constexpr size_t kInstances = 4;
 constexpr size_t kNames = 5;
 
@@ -90,7 +93,7 @@
 
   void Run(const Step& step) {
     const size_t instance = step.a % kInstances;
-    switch (step.kind % 8) {
+    switch (step.kind % 9) {
       case 0:
       case 1:
         m_store.Write(step);
@@ -114,6 +117,10 @@
                            static_cast<long>(step.a % m_messages.size()));
         }
         break;
+      case 7:
+        m_now += step.b % 3 == 0 ? kLongTime : Duration{0};
+        m_routers[instance]->Tick(m_now);
+        break;
       default:
         if (step.b % 2 == 0) {
           Start(instance);
@@ -132,7 +139,7 @@
     for (size_t round = 0; round < 2 * kInstances; ++round) {
       for (size_t i = 0; i < kInstances; ++i) {
         FetchUpstreams(*m_routers[i], *m_routers[(i + round) % kInstances],
-                       kNow);
+                       m_now);
       }
     }
     CheckPositions();
@@ -174,7 +181,7 @@
   }
 
   void Ask(size_t instance, size_t peer) {
-    const PeerDigest digest = m_routers[peer]->BuildDigest(false, true, kNow);
+    const PeerDigest digest = m_routers[peer]->BuildDigest(false, true, m_now);
     if (instance != peer && m_routers[instance]->AreUpstreamsBehind(digest)) {
       const LogOffset known = m_routers[instance]->UpstreamsKnownTo(digest);
       m_messages.push_back(
@@ -195,7 +202,7 @@
     if (message.is_from_store) {
       m_next[message.to] = message.update.as_of.value;
     }
-    ApplyUpdate(*m_routers[message.to], message.update, kNow);
+    ApplyUpdate(*m_routers[message.to], message.update, m_now);
   }
 
   static Records RecordsOf(const Router& router) {
@@ -217,6 +224,7 @@
     }
   }
 
+  Time m_now = kStart;
   StoreModel m_store;
   std::array<std::unique_ptr<Router>, kInstances> m_routers;
   std::array<std::optional<size_t>, kInstances> m_next;
--- a/test/routing/stale_registrations_are_ignored_test.cc
+++ b/test/routing/stale_registrations_are_ignored_test.cc
@@ -69,6 +69,19 @@
   CHECK_FALSE(IsRegistered(*first, "left"));
 }
 
+TEST_CASE(
+    "Removals are forgotten after a while, and peers still told of them") {
+  const auto behind = Listed("a", {ReadyUpstream("left", 3)}, 19);
+  const auto router = Listed("b", {ReadyUpstream("left", 3)}, 19);
+  router->ApplyUpstreamChanges({RemovedUpstream("left", 19)}, {20}, kNow);
+  CHECK_FALSE(UpdateSince(router->Upstreams(), {19}).is_whole_list);
+  router->Tick(kNow + seconds(3600));
+  CHECK(router->Upstreams().entries.empty());
+  CHECK(UpdateSince(router->Upstreams(), {19}).is_whole_list);
+  CHECK(FetchUpstreams(*behind, *router, kNow));
+  CHECK_FALSE(IsRegistered(*behind, "left"));
+}
+
 // An instance of an earlier version may be wrong about what its position
 // covers. Its peers agree on the tables without the upstream: one that lives
 // registers again.
