Interfaces of the shared log, of platform calls, and scaling limits

The gateway can append to topics of its own in the platform's log, also on the condition that a partition ends at a given offset, and knows the calls that one instance makes for all. Settings name the duties, the configuration a service's scaling limits, registrations whether an upstream may be reclaimed.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -103,12 +103,16 @@
                  WireCodec codec,
                  StoreCodec store_codec,
                  std::unique_ptr<Store> store,
+                 std::unique_ptr<SharedLog> shared_log,
+                 std::unique_ptr<PlatformApi> platform_api,
                  GatewayHandlers handlers)
       : m_settings(std::move(settings)),
         m_path(std::move(path)),
         m_codec(std::move(codec)),
         m_store_codec(std::move(store_codec)),
         m_store(std::move(store)),
+        m_shared_log(std::move(shared_log)),
+        m_platform_api(std::move(platform_api)),
         m_handlers(std::move(handlers)),
         m_log(m_settings.name, ParseLogLevel(m_settings.log_level)),
         m_self(MakeSelfMember(m_settings)),
@@ -507,6 +511,8 @@
   const WireCodec m_codec;
   const StoreCodec m_store_codec;
   const std::unique_ptr<Store> m_store;
+  const std::unique_ptr<SharedLog> m_shared_log;      // May be null.
+  const std::unique_ptr<PlatformApi> m_platform_api;  // May be null.
   const GatewayHandlers m_handlers;
   Log m_log;
   GatewayMetrics m_metrics;
@@ -552,6 +558,17 @@
   return *this;
 }
 
+GatewayBuilder& GatewayBuilder::WithSharedLog(std::unique_ptr<SharedLog> log) {
+  m_shared_log = std::move(log);
+  return *this;
+}
+
+GatewayBuilder& GatewayBuilder::WithPlatformApi(
+    std::unique_ptr<PlatformApi> api) {
+  m_platform_api = std::move(api);
+  return *this;
+}
+
 GatewayBuilder& GatewayBuilder::WithHandlers(GatewayHandlers handlers) {
   m_handlers = std::move(handlers);
   return *this;
@@ -560,7 +577,8 @@
 std::variant<std::unique_ptr<Gateway>, GatewayError> GatewayBuilder::Build() {
   auto gateway = std::make_unique<RunningGateway>(
       std::move(m_settings), std::move(m_path), std::move(m_codec),
-      std::move(m_store_codec), std::move(m_store), std::move(m_handlers));
+      std::move(m_store_codec), std::move(m_store), std::move(m_shared_log),
+      std::move(m_platform_api), std::move(m_handlers));
   if (auto error = gateway->Listen()) {
     return std::move(*error);
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,8 @@
 #include <vector>
 
 #include "gateway/gateway_settings.h"
+#include "gateway/platform_api.h"
+#include "gateway/shared_log.h"
 #include "gateway/store.h"
 #include "gateway/wire_codec.h"
 #include "link/http_server.h"
@@ -59,6 +61,10 @@
   GatewayBuilder& WithWireCodec(WireCodec codec);
   GatewayBuilder& WithStoreCodec(StoreCodec codec);
   GatewayBuilder& WithStore(std::unique_ptr<Store> store);
+  // Without a log, what is kept in it does not outlive the instances.
+  GatewayBuilder& WithSharedLog(std::unique_ptr<SharedLog> log);
+  // Without it, the instance has no duties.
+  GatewayBuilder& WithPlatformApi(std::unique_ptr<PlatformApi> api);
   GatewayBuilder& WithHandlers(GatewayHandlers handlers);
   // Listens on all addresses of the settings; fails if one can't be used.
   std::variant<std::unique_ptr<Gateway>, GatewayError> Build();
@@ -69,6 +75,8 @@
   WireCodec m_codec;
   StoreCodec m_store_codec;
   std::unique_ptr<Store> m_store;
+  std::unique_ptr<SharedLog> m_shared_log;
+  std::unique_ptr<PlatformApi> m_platform_api;
   GatewayHandlers m_handlers;
 };
 
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -13,6 +13,7 @@
 
 constexpr double kMaxFixedRetries = 1e6;
 constexpr double kMaxLinkMbps = 1e6;
+constexpr double kMaxDutyCallsPerS = 1e6;
 
 constexpr SettingDoc kDocs[] = {
     {"name", "string", "", "the instance's name, unique among all"},
@@ -24,6 +25,19 @@
     {"peer_address", "IP:port", "", "UDP and TCP between instances"},
     {"metrics_address", "IP:port", "", "HTTP: metrics as text"},
     {"platform_address", "IP:port", "", "the platform's store"},
+    {"api_address", "IP:port", "(none)",
+     "the platform's API, for the calls of `duties`"},
+    {"duties", "list of usage, autoscaler", "[]",
+     "calls to the API that one instance at a time makes for all"},
+    {"duty_calls_per_s", "0 to 1000000", "50",
+     "calls that the API accepts from all instances together"},
+    {"duty_lease_ms", "500 to 60000 ms", "3000",
+     "instances must not hold the duties in turns within this time"},
+    {"usage_window_s", "1 to 3600 s", "5", "the window of a usage report"},
+    {"usage_deadline_s", "1 to 3600 s", "10",
+     "after a window's end, until its usage is due"},
+    {"usage_tolerance", "0 to 1", "0.05",
+     "permitted error of an account's usage"},
     {"link_mbps", "0 to 1000000 Mbit/s", "1000",
      "what this instance's link carries; in a large fleet, those with the most "
      "pass on what others run"},
@@ -79,6 +93,34 @@
   return seed.substr(0, seed.find(':')) + peer.substr(peer.find(':'));
 }
 
+// The settings name an API, and possibly duties that this version does not
+// know, which other instances may have.
+std::optional<DutySettings> ReadDuties(JsonReader& reader) {
+  DutySettings read;
+  read.api_address = reader.String("api_address", false);
+  for (const std::string& duty : reader.Strings("duties")) {
+    if (duty == "usage") {
+      read.duties.insert(Duty::kUsage);
+    } else if (duty == "autoscaler") {
+      read.duties.insert(Duty::kScaling);
+    }
+  }
+  read.calls_per_s = ReadNumber(reader, "duty_calls_per_s", read.calls_per_s,
+                                kMaxDutyCallsPerS);
+  read.lease = milliseconds{reader.Int("duty_lease_ms", 3000, 500, 60'000)};
+  read.usage_window = seconds{reader.Int("usage_window_s", 5, 1, 3600)};
+  read.usage_deadline = seconds{reader.Int("usage_deadline_s", 10, 1, 3600)};
+  read.usage_tolerance =
+      ReadNumber(reader, "usage_tolerance", read.usage_tolerance, 1);
+  if (read.duties.empty()) {
+    return std::nullopt;
+  }
+  if (!ParseTcpAddress(read.api_address)) {
+    reader.Fail(OutOfRange{"api_address", "IP:port"});
+  }
+  return read;
+}
+
 void ReadFields(JsonReader& reader, GatewaySettings& settings) {
   ReadIdentity(reader, settings);
   settings.caller_address = ReadAddressField(reader, "caller_address");
@@ -87,6 +129,7 @@
   settings.peer_address = ReadAddressField(reader, "peer_address");
   settings.metrics_address = ReadAddressField(reader, "metrics_address");
   settings.platform_address = ReadAddressField(reader, "platform_address");
+  settings.duties = ReadDuties(reader);
   settings.link_mbps =
       ReadNumber(reader, "link_mbps", settings.link_mbps, kMaxLinkMbps);
   for (const std::string& seed : reader.Strings("seeds")) {
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -3,6 +3,8 @@
 #ifndef POMELORING_GATEWAY_GATEWAY_SETTINGS_H_
 #define POMELORING_GATEWAY_GATEWAY_SETTINGS_H_
 
+#include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -15,6 +17,21 @@
 
 namespace pomeloring {
 
+// Calls to the platform that one instance at a time makes for all.
+enum class Duty { kUsage, kScaling };
+
+struct DutySettings {
+  std::string api_address;  // Of the platform's API, IP:port.
+  std::set<Duty> duties;
+  double calls_per_s = 50;  // That the API accepts of all instances together.
+  // Holders must not alternate within this time.
+  std::chrono::milliseconds lease{3000};
+  std::chrono::seconds usage_window{5};
+  // After the end of a window its usage is due.
+  std::chrono::seconds usage_deadline{10};
+  double usage_tolerance = 0.05;  // Of the true count of each account.
+};
+
 struct GatewaySettings {
   std::string name;
   std::string failure_domain;
@@ -25,6 +42,7 @@
   std::string peer_address;       // UDP and TCP between instances.
   std::string metrics_address;
   std::string platform_address;
+  std::optional<DutySettings> duties;
   double link_mbps = 1000;
   std::vector<std::string> seeds;  // Other instances, by their peer addresses.
   bool is_seed = false;            // Whether the list named this instance too.
--- a/src/routing/routing_config.h
+++ b/src/routing/routing_config.h
@@ -55,11 +55,26 @@
   uint32_t tokens_per_event = 1;
 };
 
+// Bounds and prices of the upstreams that may be ordered for a service.
+struct ScalingLimits {
+  uint32_t min =
+      0;  // In each failure domain, regular and reclaimable together.
+  uint32_t max = 0;
+  Duration startup{0};  // From an order until a new upstream serves.
+  // Price of a second of a reclaimable upstream over that of a regular one;
+  // nothing if there are none to be had.
+  std::optional<double> reclaimable_price;
+  // Price of a second of a regular upstream by failure domain.
+  std::map<FailureDomain, double> domain_prices;
+};
+
 struct RoutedService {
   ServiceName name;
   std::string health_path;
   uint32_t max_connections = 0;  // To one upstream, over all instances.
   std::optional<EngineTraits> engine;
+  // Without it, the operator alone starts and stops upstreams.
+  std::optional<ScalingLimits> scaling;
 };
 
 struct RoutedAccount {
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -26,6 +26,10 @@
   int64_t started_at_ms = 0;
   // Empty if unknown. A stream can go on only at the version that began it.
   std::string software_version;
+  // The platform may take it away at short notice.
+  bool is_reclaimable = false;
+  // Until a draining upstream leaves; nothing if unknown.
+  std::optional<Duration> leaves_in;
   bool operator==(const UpstreamRecord&) const = default;
 };
 
