Tell all instances of an upstream that has exited

An upstream that crashes stays registered for up to three heartbeats, has no load and so was the cheapest choice of all instances. Each had to find out by itself, asked up to three peers for a path, and then checked the path four times a second. Now an exit that one instance has confirmed (connections refused while another upstream still talks to it) goes to all in digests, holds for a second, and is renewed only by instances that have seen it themselves; a byte or an accepted connection refutes it.

--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -118,6 +118,11 @@
                                        digest.lost_upstreams.end());
   out.set_is_cut_off(digest.is_cut_off);
   out.mutable_cut_off()->Assign(digest.cut_off.begin(), digest.cut_off.end());
+  for (const ExitNotice& exit : digest.exits) {
+    wire::ExitNotice& entry = *out.add_exits();
+    entry.set_process(exit.process);
+    entry.set_held_for_ms(ToWholeMillis(exit.held_for));
+  }
   for (const UpstreamNotice& notice : digest.notices) {
     wire::UpstreamNotice& entry = *out.add_notices();
     entry.set_upstream(notice.upstream.value);
@@ -152,6 +157,10 @@
   digest.relayed_by.value = in.relayed_by();
   digest.changed_loads_only = in.has_changed_uses_only();
   digest.serving.assign(in.serving().begin(), in.serving().end());
+  for (const wire::ExitNotice& exit : in.exits()) {
+    digest.exits.push_back(
+        {exit.process(), FromWholeMillis(exit.held_for_ms())});
+  }
   digest.lost_upstreams.assign(in.lost_upstreams().begin(),
                                in.lost_upstreams().end());
   digest.is_cut_off = in.is_cut_off();
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/ids.h"
+#include "routing/exit_notice.h"
 #include "routing/request_quarantine.h"
 #include "routing/upstream_state.h"
 
@@ -60,6 +61,8 @@
   std::vector<uint32_t> cut_off;
   // What all upstreams with any Backpressure ask, as far as the sender knows.
   std::vector<UpstreamNotice> notices;
+  // Of all upstreams that the sender takes for exited.
+  std::vector<ExitNotice> exits;
   // What is known against traits of requests; not all of it each time.
   std::vector<TraitNotice> trait_notices;
 };
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -537,6 +537,10 @@
   }
   for (const ConfirmedExit& exit :
        TakeConfirmedExits(m_exits, is_registered, last_byte_of_others, now)) {
+    if (const auto state = FindUpstream(exit.broken.upstream);
+        state && ProcessIdOf(state->record) == exit.process) {
+      HoldExited(*state, now);
+    }
     for (const BrokenAttempt& attempt : exit.broken.attempts) {
       AddQuarantines(RecordExit(m_quarantine, attempt, exit.process, now));
     }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -173,6 +173,7 @@
   // Records that the upstream has sent bytes and is alive.
   void RecordByte(const PlacedAttempt& attempt, Time now) {
     attempt.upstream->health.last_byte_at = now;
+    RefuteExit(*attempt.upstream, now);
   }
 
   // Paths to upstreams; see DirectPath.
@@ -304,6 +305,8 @@
   void ApplyLoads(PeerState& peer, const PeerDigest& digest, Time now);
   void ApplyParts(const PeerDigest& digest, Time now);
   void ApplyNotices(const PeerDigest& digest, Time now);
+  void ApplyExitNotices(const PeerDigest& digest, Time now);
+  std::vector<ExitNotice> BuildExitNotices(Time now) const;
   void ApplyTraitNotices(const PeerDigest& digest, Time now);
   std::vector<UpstreamNotice> BuildNotices(Time now) const;
   // Divides the upstreams' limits among the instances that serve now.
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -75,6 +75,7 @@
   digest.lost_upstreams = LostUpstreamHashes();
   digest.is_cut_off = IsCutOff(now);
   digest.notices = BuildNotices(now);
+  digest.exits = BuildExitNotices(now);
   return digest;
 }
 
@@ -227,6 +228,7 @@
   peer.digest.loads.clear();
   peer.digest.cached_parts.clear();
   peer.digest.notices.clear();
+  peer.digest.exits.clear();
   peer.last_received = now;
   if (digest.scope == DigestScope::kAll) {
     // The digest includes the loads that other peers have reported before.
@@ -246,6 +248,7 @@
   }
   ApplyParts(digest, now);
   ApplyNotices(digest, now);
+  ApplyExitNotices(digest, now);
   ApplyTraitNotices(digest, now);
   if (has_reach_changed) {
     UpdatePeerPaths(now);
@@ -337,6 +340,33 @@
   }
 }
 
+std::vector<ExitNotice> Router::BuildExitNotices(Time now) const {
+  std::vector<ExitNotice> notices;
+  for (const auto& [name, state] : m_states) {
+    if (now < state->exited_until) {
+      notices.push_back(
+          {ProcessIdOf(state->record), state->exited_until - now});
+    }
+  }
+  return notices;
+}
+
+void Router::ApplyExitNotices(const PeerDigest& digest, Time now) {
+  if (digest.exits.empty()) {
+    return;
+  }
+  std::unordered_map<ProcessId, const ExitNotice*> by_process;
+  for (const ExitNotice& notice : digest.exits) {
+    by_process[notice.process] = &notice;
+  }
+  for (const auto& [name, state] : m_states) {
+    if (const auto found = by_process.find(ProcessIdOf(state->record));
+        found != by_process.end()) {
+      m_has_pending_changes |= ApplyExitNotice(*state, *found->second, now);
+    }
+  }
+}
+
 void Router::ApplyTraitNotices(const PeerDigest& digest, Time now) {
   const TraitNoticeResult result =
       pomeloring::ApplyTraitNotices(m_quarantine, digest.trait_notices, now);
--- a/src/routing/router_reach.cc
+++ b/src/routing/router_reach.cc
@@ -30,6 +30,12 @@
                   [&](Time lost_at) { return now - lost_at >= kLossWindow; });
     m_recent_path_losses.push_back(now);
   }
+  if (result == ProbeResult::kAccepted) {
+    RefuteExit(upstream, now);
+  } else if (result == ProbeResult::kRefused && now < upstream.exited_until &&
+             pomeloring::HasExited(m_exits, ProcessIdOf(upstream.record))) {
+    HoldExited(upstream, now);
+  }
   if (change == PathChange::kRegained) {
     upstream.health.failure_rate = 0;
     upstream.health.consecutive_failures = 0;
@@ -84,6 +90,9 @@
   return cut_off;
 }
 
+// Of an upstream that has exited, only the instances that have seen that try
+// whether it is back: connections of hundreds of instances every 250 ms would
+// hit a process that has just started.
 std::vector<std::shared_ptr<UpstreamState>> Router::UpstreamsToCheck(
     Time now) const {
   const auto recent =
@@ -92,8 +101,12 @@
   const bool checks_all = static_cast<size_t>(recent) >= kLossesToCheckAll;
   std::vector<std::shared_ptr<UpstreamState>> due;
   for (const auto& [name, state] : m_states) {
-    if (IsCheckDue(state->direct_path, checks_all, now) &&
-        FindUseBlock(*state, now) == SendBlock::kNone) {
+    const SendBlock block = FindUseBlock(*state, now);
+    const bool may_be_used =
+        block == SendBlock::kNone ||
+        (block == SendBlock::kExited &&
+         pomeloring::HasExited(m_exits, ProcessIdOf(state->record)));
+    if (may_be_used && IsCheckDue(state->direct_path, checks_all, now)) {
       due.push_back(state);
     }
   }
--- a/src/routing/send_block.cc
+++ b/src/routing/send_block.cc
@@ -12,6 +12,9 @@
   if (upstream.backpressure.is_leaving) {
     return SendBlock::kLeaving;
   }
+  if (now < upstream.exited_until) {
+    return SendBlock::kExited;
+  }
   return now < upstream.held_until ? SendBlock::kHeld : SendBlock::kNone;
 }
 
@@ -25,6 +28,8 @@
       return "draining";
     case SendBlock::kLeaving:
       return "leaving";
+    case SendBlock::kExited:
+      return "exited";
     case SendBlock::kHeld:
       return "held";
     case SendBlock::kPaused:
--- a/src/routing/send_block.h
+++ b/src/routing/send_block.h
@@ -16,6 +16,7 @@
   kGone,
   kDraining,     // According to its registration.
   kLeaving,      // According to a reply, to this instance or a peer.
+  kExited,       // See UpstreamState::exited_until.
   kHeld,         // See UpstreamState::held_until.
   kPaused,       // It has asked for a pause.
   kFull,         // It has turned a request away; see HasRoom().
--- a/src/routing/upstream_state.h
+++ b/src/routing/upstream_state.h
@@ -65,6 +65,9 @@
   Time first_seen;
   // Gets no requests before; see Router::SyncStates().
   Time held_until;
+  // Its process is known to have exited, by this instance or a peer.
+  Time exited_until;
+  Time last_alive_at;  // Last proof against an exit; see RefuteExit().
   UpstreamLoad local_load;
   // Time up to which `prefill_load` is decayed, in all loads.
   Time prefill_load_updated_at;
--- a/test/routing/exited_upstream_is_left_by_all_test.cc
+++ b/test/routing/exited_upstream_is_left_by_all_test.cc
@@ -49,7 +49,7 @@
   exit.Pass(seconds(1));
   Router& observer = exit.Observer();
   AttemptRequest request = RequestOn(observer, "draft", 4000);
-  request.parts = {{7, 4000, 7}};
+  request.parts = {{7, 3000, 7}, {8, 1000, 8}};
   const auto attempt = std::get<std::shared_ptr<PlacedAttempt>>(
       observer.StartAttempt(request, exit.now));
   exit.upstream = attempt->upstream->record.id;
