--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -18,6 +18,7 @@
 
 #include "daemon/log.h"
 #include "gateway/client_connection.h"
+#include "gateway/duty_runner.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_context.h"
 #include "gateway/peer_attempt.h"
@@ -199,6 +200,7 @@
     Spawn(m_feed.FollowUpstreams());
     Spawn(AcceptCallers());
     Spawn(Housekeeping());
+    StartDuties();
     WaitForSignal();
     m_log.Write(LogLevel::kInfo, "started",
                 {{"caller_address", m_settings.caller_address},
@@ -345,6 +347,37 @@
     }
   }
 
+  // What the holder of the duties does for all. Each task is made only if the
+  // settings name its duty.
+  std::vector<DutyTask> MakeDutyTasks() { return {}; }
+
+  void StartDuties() {
+    if (!m_settings.duties || m_shared_log == nullptr ||
+        m_platform_api == nullptr) {
+      return;
+    }
+    m_duties.emplace(
+        DutyRunnerContext{
+            m_context, *m_shared_log, *m_platform_api, m_log, m_metrics,
+            [this] {
+              std::vector<DutyCandidate> candidates;
+              for (RelayCandidate& live : m_peers.LiveRelayCandidates()) {
+                candidates.push_back({std::move(live.name), live.capacity});
+              }
+              return candidates;
+            },
+            [this] { return m_router.Duties(); },
+            [this](const DutyNotice& notice) {
+              m_router.MergeDutyNotice(notice);
+              m_peers.RequestDigest();
+            },
+            BootNow},
+        DutyLeaseSettings{m_self.name, m_self.incarnation,
+                          m_settings.duties->lease},
+        MakeDutyTasks());
+    m_duties->Start();
+  }
+
   asio::awaitable<void> Housekeeping() {
     while (true) {
       const Time now = Now();
@@ -482,6 +515,9 @@
         LogLevel::kInfo, "stopping",
         {{"in_flight", std::to_string(m_gateway_context.active_exchanges)}});
     m_peers.AdvertiseLeaving();
+    if (m_duties) {
+      Spawn(m_duties->Release());
+    }
     m_gateway_context.close_after_reply = true;
     const auto deadline = started_at + m_settings.drain_timeout - kExitMargin;
     const auto addresses_expire_at = std::min(
@@ -527,6 +563,7 @@
   PeerExchange m_peers;
   GatewayContext m_gateway_context;
   ReachMonitor m_reach;
+  std::optional<DutyRunner> m_duties;  // Nothing without duties.
   tcp::acceptor m_acceptor;
   asio::signal_set m_signals;
   std::vector<std::shared_ptr<HttpServer>> m_servers;
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -137,6 +137,9 @@
   for (const TraitNotice& notice : digest.trait_notices) {
     EncodeTraitNotice(notice, *out.add_traits());
   }
+  out.set_duty_position(digest.duties.position.value);
+  out.set_duty_holder(digest.duties.holder.value);
+  out.set_is_duty_released(digest.duties.is_released);
   return out.SerializeAsString();
 }
 
@@ -201,6 +204,8 @@
   for (const wire::TraitNotice& entry : in.traits()) {
     digest.trait_notices.push_back(DecodeTraitNotice(entry));
   }
+  digest.duties = {
+      {in.duty_position()}, {in.duty_holder()}, in.is_duty_released()};
   return digest;
 }
 
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -60,6 +60,8 @@
   std::vector<Member> ServingMembers(Time now) const;
   // Returns the peers that are alive and not leaving.
   std::vector<PeerCandidate> PathCandidates() const;
+  // Returns the members that are alive and not leaving, this one included.
+  std::vector<RelayCandidate> LiveRelayCandidates() const;
   // Whether this process is known as an instance of the fleet.
   bool IsMember(const InstanceName& name, Incarnation incarnation) const;
 
@@ -73,8 +75,6 @@
   void SendDigestToRelay(const RelayCandidate& self, Time now);
   void SendDigestsAsRelay(Time now);
   void SendDigest(const InstanceName& receiver, const PeerDigest& digest);
-  // Returns the members that are alive and not leaving, this one included.
-  std::vector<RelayCandidate> LiveRelayCandidates() const;
   void HandleDigestBytes(std::string_view bytes);
   // Starts to fetch what the sender of `digest` has and this instance lacks.
   void FetchIfBehind(const PeerDigest& digest);
--- a/src/link/clock.cc
+++ b/src/link/clock.cc
@@ -1,5 +1,7 @@
 #include "link/clock.h"
 
+#include <ctime>
+
 namespace pomeloring {
 namespace {
 
@@ -18,4 +20,11 @@
   return Time{std::chrono::duration_cast<Duration>(wall)};
 }
 
+Time BootNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Time{std::chrono::duration_cast<Duration>(
+      seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec))};
+}
+
 }  // namespace pomeloring
--- a/src/link/clock.h
+++ b/src/link/clock.h
@@ -1,6 +1,7 @@
 // Defines Now(): the time that a process passes to the core. It is the wall
 // time of the first call plus the steady clock's progress since then, so it
-// never goes backwards.
+// never goes backwards. BootNow() also counts the time that the machine was
+// suspended, for leases: others count it too.
 
 #ifndef POMELORING_LINK_CLOCK_H_
 #define POMELORING_LINK_CLOCK_H_
@@ -10,6 +11,8 @@
 namespace pomeloring {
 
 Time Now();
+// Since the machine started. Not comparable with Now().
+Time BootNow();
 
 }  // namespace pomeloring
 
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/ids.h"
+#include "duties/duty_notice.h"
 #include "routing/request_quarantine.h"
 #include "routing/upstream_state.h"
 
@@ -62,6 +63,8 @@
   std::vector<UpstreamNotice> notices;
   // What is known against traits of requests; not all of it each time.
   std::vector<TraitNotice> trait_notices;
+  // The newest record of the duties that the sender knows of.
+  DutyNotice duties;
 };
 
 // Splits a digest with many loads into several that fit into a datagram each.
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -232,6 +232,10 @@
   // unless the sender has been silent since.
   bool HandleDigest(const PeerDigest& digest, Time now);
   const std::map<InstanceName, PeerState>& Peers() const { return m_peers; }
+  // The newest record of the duties that any digest, or this instance, has
+  // told of.
+  void MergeDutyNotice(const DutyNotice& notice);
+  const DutyNotice& Duties() const { return m_duties; }
   // Other instances that serve callers according to peers, by ShortHash().
   std::set<uint32_t> ServingPeerHashes(Time now) const;
   size_t LivePeerCount(Time now) const;
@@ -336,6 +340,7 @@
   std::map<ServiceName, EngineEstimate> m_engines;
   uint64_t m_round_robin_index = 0;  // For kRoundRobin.
   std::map<InstanceName, PeerState> m_peers;
+  DutyNotice m_duties;
   // Recently cached parts that are still to be sent: to all peers or the other
   // relays, and to the instances that this one relays for.
   std::deque<CachedPart> m_parts_to_send;
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -75,6 +75,7 @@
   digest.lost_upstreams = LostUpstreamHashes();
   digest.is_cut_off = IsCutOff(now);
   digest.notices = BuildNotices(now);
+  digest.duties = m_duties;
   return digest;
 }
 
@@ -106,6 +107,14 @@
   return digest;
 }
 
+// A change is passed on with the next digest: relays, and thereby instances that
+// are not among the first to claim, learn of it within two idle intervals.
+void Router::MergeDutyNotice(const DutyNotice& notice) {
+  if (notice.position > m_duties.position) {
+    m_duties = notice;
+  }
+}
+
 bool Router::IsRelayedHere(const PeerState& peer, Time now) const {
   return peer.digest.relayed_by == m_settings.name &&
          now - peer.last_received < m_settings.digest_timeout;
@@ -247,6 +256,7 @@
   ApplyParts(digest, now);
   ApplyNotices(digest, now);
   ApplyTraitNotices(digest, now);
+  MergeDutyNotice(digest.duties);
   if (has_reach_changed) {
     UpdatePeerPaths(now);
   }
