--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -9,6 +9,7 @@
 
 #include "core/ids.h"
 #include "routing/exit_notice.h"
+#include "duties/duty_notice.h"
 #include "routing/request_quarantine.h"
 #include "routing/upstream_state.h"
 
@@ -65,6 +66,8 @@
   std::vector<ExitNotice> exits;
   // What is known against traits of requests; not all of it each time.
   std::vector<TraitNotice> trait_notices;
+  // The newest record of the duties that the sender knows of.
+  DutyNotice duties;
 };
 
 // Splits a digest with many loads into several that fit into a datagram each.
