--- a/src/link/clock.cc
+++ b/src/link/clock.cc
@@ -1,5 +1,7 @@
 #include "link/clock.h"
 
+#include <ctime>
+
 namespace pomeloring {
 namespace {
 
@@ -18,4 +20,17 @@
   return Time{std::chrono::duration_cast<Duration>(wall)};
 }
 
+Time TimeOfDay() {
+  return Time{std::chrono::duration_cast<Duration>(
+      std::chrono::system_clock::now().time_since_epoch())};
+}
+
+Duration Boottime() {
+  timespec reading{};
+  clock_gettime(CLOCK_BOOTTIME, &reading);
+  return seconds(reading.tv_sec) +
+         std::chrono::duration_cast<Duration>(
+             std::chrono::nanoseconds(reading.tv_nsec));
+}
+
 }  // namespace pomeloring
