Gateway: requests are counted as usage and sent to the holder

With the duty "usage" in the settings, a stream counts at its first event, another request at its reply, or when an attempt without one was sent; once, whatever attempts follow, and not again when its caller takes the stream up. Counts travel in datagrams with the tag U. Before an instance ends, it sends all that it has counted. The task is ready for the runner of the duties, which is not there yet: until it is connected, no datagram is sent. Without the duty, the hook is null.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -367,6 +367,7 @@
     end = co_await m_upstream_attempt->Execute(sink);
   }
   m_last_reply = m_upstream_attempt->Reply();
+  CountUsageOfAttempt(end, m_upstream_attempt->SentAt());
   m_upstream_attempt = nullptr;
   // A stream that ends within an event has been broken off, however its
   // connection ended.
@@ -413,6 +414,38 @@
   co_return end;
 }
 
+// A stream that is taken up again was counted with its first event.
+void Exchange::CountUsage(Time began) {
+  if (m_gateway.count_usage && m_account != nullptr && !m_is_counted) {
+    m_is_counted = true;
+    m_gateway.count_usage(m_account->name, Now() - began);
+  }
+}
+
+// The reply comes soon after the upstream processes the request; an attempt
+// without one may have waited for its timeout since then. A request for a
+// stream begins with its first event only.
+void Exchange::CountUsageOfAttempt(AttemptEnd end,
+                                   std::optional<Time> sent_at) {
+  if (m_route->kind == RouteKind::kStreaming || !sent_at) {
+    return;
+  }
+  switch (end) {
+    case AttemptEnd::kWhole:
+    case AttemptEnd::kBroken:
+      CountUsage(Now());
+      break;
+    case AttemptEnd::kSilent:
+    case AttemptEnd::kStopped:
+      CountUsage(*sent_at);
+      break;
+    case AttemptEnd::kNotSent:
+    case AttemptEnd::kWithdrawn:
+    case AttemptEnd::kNotExecuted:
+      break;
+  }
+}
+
 // A request whose reply had begun may have caused the exit, and a retry may end
 // the next upstream, unless answers under each part of its prompt have gone on
 // elsewhere. Most others were only beside it.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -50,6 +50,10 @@
   bool IsResumption() const;
   StreamKey KeyOfStream() const;
   void RecordFirstEvent();
+  // Counts the request for its account, once.
+  void CountUsage(Time began);
+  // Counts a request without a stream if its attempt has run, most probably.
+  void CountUsageOfAttempt(AttemptEnd end, std::optional<Time> sent_at);
   boost::asio::awaitable<void> RunAttempts();
   boost::asio::awaitable<AttemptEnd> RunAttempt(
       std::shared_ptr<PlacedAttempt> attempt);
@@ -98,6 +102,7 @@
   bool m_may_have_executed = false;
   // Its engine has exited, and it may have caused that.
   bool m_is_suspected = false;
+  bool m_is_counted = false;  // As usage of its account.
   bool m_stream_started = false;
   bool m_stream_broken = false;
   bool m_event_too_long = false;  // In the attempt in progress.
--- a/src/gateway/exchange_streams.cc
+++ b/src/gateway/exchange_streams.cc
@@ -71,6 +71,7 @@
   if (m_origin) {
     return;
   }
+  CountUsage(Now());
   m_origin = StreamOrigin{m_service,
                           m_placed_attempt->upstream->record.software_version};
   const StreamKey key = KeyOfStream();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -17,6 +17,7 @@
 #include <set>
 
 #include "daemon/log.h"
+#include "duties/wall_clock.h"
 #include "gateway/client_connection.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_context.h"
@@ -26,6 +27,7 @@
 #include "gateway/serve_connection.h"
 #include "gateway/serve_peer_attempt.h"
 #include "gateway/store_feed.h"
+#include "gateway/usage_reports.h"
 #include "link/address.h"
 #include "link/clock.h"
 #include "link/problem.h"
@@ -127,6 +129,14 @@
                  [this] {
                    ApplyQuarantines();
                    m_reach.StartChecks();
+                   if (m_usage) {
+                     m_usage->Tick();
+                   }
+                 },
+                 [this](std::string_view bytes) {
+                   if (m_usage) {
+                     m_usage->HandleDatagram(bytes);
+                   }
                  }},
                 m_self,
                 m_settings.seeds),
@@ -161,6 +171,9 @@
                                               ServiceName service) {
       return m_peers.AskForOrigin(key, std::move(service));
     };
+    if (m_settings.duties && m_settings.duties->duties.contains(Duty::kUsage)) {
+      StartUsage(*m_settings.duties);
+    }
   }
 
   ~RunningGateway() override { m_threads.Stop(); }
@@ -251,6 +264,35 @@
   }
 
  private:
+  // The runner of the duties takes m_usage->MakeTask().
+  void StartUsage(const DutySettings& duties) {
+    UsageReportsContext context{
+        {m_log, m_metrics,
+         [this] {
+           return AdvanceWallClock(m_wall_clock, TimeOfDay(), Boottime());
+         },
+         [this] { return LiveMembers(); }},
+        [] { return std::vector<InstanceName>(); },
+        [this](const InstanceName& receiver, std::string_view datagram) {
+          m_peers.SendUsage(receiver, datagram);
+        }};
+    m_usage = std::make_unique<UsageReports>(
+        duties, UsageSender{m_self.name, m_self.incarnation},
+        std::move(context));
+    m_gateway_context.count_usage = [this](const AccountName& account,
+                                           Duration ago) {
+      m_usage->Count(account, ago);
+    };
+  }
+
+  std::vector<InstanceName> LiveMembers() const {
+    std::vector<InstanceName> members{m_self.name};
+    for (PeerCandidate& peer : m_peers.PathCandidates()) {
+      members.push_back(std::move(peer.name));
+    }
+    return members;
+  }
+
   // The members that serve callers, without those that have lost their
   // upstreams: callers are served there as well, but by way of the others.
   std::vector<Member> PreferredMembers(Time now) const {
@@ -497,6 +539,9 @@
     }
     error_code ignored;
     m_acceptor.close(ignored);
+    if (m_usage) {
+      m_usage->SendAll();
+    }
     m_exit.set_value(m_gateway_context.active_exchanges == 0
                          ? GatewayExit::kStopped
                          : GatewayExit::kDrainTimedOut);
@@ -527,6 +572,8 @@
   PeerExchange m_peers;
   GatewayContext m_gateway_context;
   ReachMonitor m_reach;
+  WallClock m_wall_clock;
+  std::unique_ptr<UsageReports> m_usage;  // Null without the duty.
   tcp::acceptor m_acceptor;
   asio::signal_set m_signals;
   std::vector<std::shared_ptr<HttpServer>> m_servers;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -53,6 +53,9 @@
   std::function<boost::asio::awaitable<StreamOriginReport>(StreamKey,
                                                            ServiceName)>
       ask_for_origin;
+  // Counts a request of an account that began to run `ago`. Null without the
+  // duty "usage".
+  std::function<void(const AccountName&, Duration ago)> count_usage;
 };
 
 }  // namespace pomeloring
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -29,6 +29,7 @@
 constexpr char kMembershipTag = 'M';
 constexpr char kDigestTag = 'D';
 constexpr char kOriginsTag = 'S';
+constexpr char kUsageTag = 'U';
 constexpr size_t kMaxDatagramBytes = size_t{64} * 1024;
 // A longer interval adds to the age of the loads that peers see; each wake-up
 // costs CPU time.
@@ -349,6 +350,10 @@
       if (const auto streams = DecodeOrigins(payload)) {
         m_context.router.ApplyOrigins(*streams, Now());
       }
+    } else if (buffer[0] == kUsageTag) {
+      if (m_context.on_usage) {
+        m_context.on_usage(payload);
+      }
     } else if (const auto message = DecodeDatagram(payload);
                buffer[0] == kMembershipTag && message) {
       const std::string address =
@@ -394,6 +399,13 @@
   }
 }
 
+void PeerExchange::SendUsage(const InstanceName& receiver,
+                             std::string_view bytes) {
+  if (const Member* member = FindMember(receiver)) {
+    SendTo(member->probe_address, fmt::format("{}{}", kUsageTag, bytes));
+  }
+}
+
 // Of one question to several holders.
 struct PeerExchange::OriginInquiry {
   OriginInquiry(asio::io_context& context, std::string asked, size_t holders)
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -30,6 +30,8 @@
   GatewayMetrics& metrics;
   // Called many times a second; may be empty.
   std::function<void()> on_tick;
+  // Receives datagrams of SendUsage(); may be empty.
+  std::function<void(std::string_view bytes)> on_usage;
 };
 
 // Used from one thread.
@@ -52,6 +54,8 @@
   // Asks the holders of a stream of `service`. The report merges their replies.
   boost::asio::awaitable<StreamOriginReport> AskForOrigin(StreamKey key,
                                                           ServiceName service);
+  // Sends counts of requests to the instance that collects them.
+  void SendUsage(const InstanceName& receiver, std::string_view bytes);
   void AdvertiseLeaving();
   bool IsLeaving() const { return m_leaving; }
   void SetSeeds(std::vector<std::string> seeds);
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -270,6 +270,7 @@
     co_return AttemptEnd::kWithdrawn;
   }
   m_last_byte_at = Now();
+  m_sent_at = m_last_byte_at;
   Send(std::move(bytes));
   ArmReadTimer(m_request.first_byte_timeout);
   DirectPath& path = m_attempt->upstream->direct_path;
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -81,6 +81,8 @@
   // Stops the attempt by closing its connection.
   void Stop();
   const UpstreamReply& Reply() const { return m_reply; }
+  // When the request was last sent, to the upstream or to a peer.
+  std::optional<Time> SentAt() const { return m_sent_at; }
   // After kNotSent: why this instance had no connection.
   const UpstreamConnectResult& ConnectFailure() const {
     return m_connect_failure;
@@ -132,6 +134,7 @@
   boost::asio::steady_timer m_read_timer;
   Duration m_read_timeout{0};
   Time m_last_byte_at;
+  std::optional<Time> m_sent_at;
   bool m_stopped = false;
   bool m_timed_out = false;
   bool m_saw_foreign_reply = false;  // A reply to another request came first.
--- a/test/support/gateway_site.cc
+++ b/test/support/gateway_site.cc
@@ -2,12 +2,14 @@
 
 #include <fmt/format.h>
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 
 #include "link/address.h"
+#include "link/http_client.h"
 #include "link/sleep.h"
 #include "platform/codecs.h"
 #include "support/scripted_server.h"
@@ -108,6 +110,9 @@
       options.peer_address.empty() ? ClosedAddress() : options.peer_address;
   settings.seeds = options.seeds;
   settings.metrics_address = ClosedAddress();
+  if (options.counts_usage) {
+    settings.duties = DutySettings{.duties = {Duty::kUsage}};
+  }
   settings.address_ttl = std::chrono::seconds(0);
   settings.log_level = "error";
   return settings;
@@ -132,9 +137,11 @@
                          const SiteOptions& options) {
   for (int tries = 0; tries < 10 && !m_gateway; ++tries) {
     m_address = ClosedAddress();
+    GatewaySettings settings = SettingsFor(m_address, options);
+    m_metrics_address = settings.metrics_address;
     auto built =
         GatewayBuilder()
-            .WithSettings(SettingsFor(m_address, options), "")
+            .WithSettings(std::move(settings), "")
             .WithWireCodec(MakeCodec(options))
             .WithStoreCodec(platform::MakeStoreCodec())
             .WithStore(std::make_unique<FixedStore>(upstreams, store_delay))
@@ -195,6 +202,27 @@
                   path, more_fields));
 }
 
+uint64_t GatewaySite::Metric(const std::string& name) const {
+  asio::io_context context;
+  HttpRequestMessage request{boost::beast::http::verb::get, "/metrics", 11};
+  request.set(boost::beast::http::field::host, m_metrics_address);
+  std::string text = "\n";
+  asio::co_spawn(
+      context,
+      SendHttpRequest(m_metrics_address, std::move(request),
+                      std::chrono::milliseconds(1000)),
+      [&text](const std::exception_ptr&, const HttpResult& result) {
+        if (const auto* reply = std::get_if<HttpResponseMessage>(&result)) {
+          text += reply->body();
+        }
+      });
+  context.run();
+  const std::string line = fmt::format("\npomeloring_{} ", name);
+  const size_t at = text.find(line);
+  return at == std::string::npos ? 0
+                                 : std::stoull(text.substr(at + line.size()));
+}
+
 std::string SignedReply(unsigned status,
                         const std::string& body,
                         const std::string& more_fields) {
--- a/test/support/gateway_site.h
+++ b/test/support/gateway_site.h
@@ -30,6 +30,7 @@
   std::string name = "gateway-1";
   std::string peer_address;  // Empty: any.
   std::vector<std::string> seeds;
+  bool counts_usage = false;  // For the duty "usage".
   // Called by the gateway's only thread when it has read a request.
   std::function<void()> on_request = [] {};
 };
@@ -54,9 +55,12 @@
   // returns the reply. `more_fields` are header lines that end in CRLF.
   std::string PostRequest(const std::string& path,
                           const std::string& more_fields = {}) const;
+  // Returns a counter of the gateway's metrics; 0 if it is not there.
+  uint64_t Metric(const std::string& name) const;
 
  private:
   std::string m_address;
+  std::string m_metrics_address;
   std::unique_ptr<Gateway> m_gateway;
   std::thread m_thread;
 };
