--- a/src/duties/duty_lease.cc
+++ b/src/duties/duty_lease.cc
@@ -168,19 +168,46 @@
   return lease;
 }
 
+namespace {
+
+bool ComesBefore(const DutyCandidate& a, const DutyCandidate& b) {
+  return a.link_capacity != b.link_capacity ? a.link_capacity > b.link_capacity
+                                            : a.name < b.name;
+}
+
+}  // namespace
+
+std::vector<InstanceName> HolderAndStandby(std::span<const DutyCandidate> live,
+                                           const InstanceName& holder) {
+  std::vector<InstanceName> receivers;
+  if (!holder.value.empty()) {
+    receivers.push_back(holder);
+  }
+  const DutyCandidate* standby = nullptr;
+  for (const DutyCandidate& candidate : live) {
+    if (candidate.name != holder &&
+        (standby == nullptr || ComesBefore(candidate, *standby))) {
+      standby = &candidate;
+    }
+  }
+  if (standby != nullptr) {
+    receivers.push_back(standby->name);
+  }
+  return receivers;
+}
+
 size_t RankCandidate(std::span<const DutyCandidate> live,
                      const InstanceName& self,
                      const InstanceName& holder) {
   const auto own =
       std::find_if(live.begin(), live.end(),
                    [&](const auto& other) { return other.name == self; });
-  const uint32_t own_capacity = own == live.end() ? 0 : own->link_capacity;
+  const DutyCandidate self_candidate =
+      own == live.end() ? DutyCandidate{self, 0} : *own;
   return static_cast<size_t>(
       std::count_if(live.begin(), live.end(), [&](const auto& other) {
         return other.name != self && other.name != holder &&
-               (other.link_capacity != own_capacity
-                    ? other.link_capacity > own_capacity
-                    : other.name < self);
+               ComesBefore(other, self_candidate);
       }));
 }
 
--- a/src/duties/duty_lease.h
+++ b/src/duties/duty_lease.h
@@ -84,6 +84,11 @@
                      const InstanceName& self,
                      const InstanceName& holder);
 
+// Returns the known holder, if there is any, and the first candidate to replace
+// it.
+std::vector<InstanceName> HolderAndStandby(std::span<const DutyCandidate> live,
+                                           const InstanceName& holder);
+
 enum class DutyStepKind { kWait, kRead, kClaim, kRenew };
 
 struct DutyStep {
--- a/src/gateway/exchange_streams.cc
+++ b/src/gateway/exchange_streams.cc
@@ -68,6 +68,7 @@
 // Peers are told before the caller gets the event and may take the stream up
 // elsewhere.
 void Exchange::RecordFirstEvent() {
+  CountUsage(Now());
   if (m_origin) {
     return;
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -17,6 +17,7 @@
 #include <set>
 
 #include "daemon/log.h"
+#include "duties/wall_clock.h"
 #include "gateway/client_connection.h"
 #include "gateway/duty_runner.h"
 #include "gateway/exchange.h"
@@ -27,6 +28,7 @@
 #include "gateway/serve_connection.h"
 #include "gateway/serve_peer_attempt.h"
 #include "gateway/store_feed.h"
+#include "gateway/usage_reports.h"
 #include "link/address.h"
 #include "link/clock.h"
 #include "link/problem.h"
@@ -128,6 +130,14 @@
                  [this] {
                    ApplyQuarantines();
                    m_reach.StartChecks();
+                   if (m_usage) {
+                     m_usage->Tick();
+                   }
+                 },
+                 [this](std::string_view bytes) {
+                   if (m_usage) {
+                     m_usage->HandleDatagram(bytes);
+                   }
                  }},
                 m_self,
                 m_settings.seeds),
@@ -162,6 +172,9 @@
                                               ServiceName service) {
       return m_peers.AskForOrigin(key, std::move(service));
     };
+    if (m_settings.duties && m_settings.duties->duties.contains(Duty::kUsage)) {
+      StartUsage(*m_settings.duties);
+    }
   }
 
   ~RunningGateway() override { m_threads.Stop(); }
@@ -253,6 +266,51 @@
   }
 
  private:
+  void StartUsage(const DutySettings& duties) {
+    UsageReportsContext context{
+        {m_log, m_metrics,
+         [this] {
+           return AdvanceWallClock(m_wall_clock, TimeOfDay(),
+                                   BootNow().time_since_epoch());
+         },
+         [this] { return LiveMembers(); }},
+        [this] { return UsageReceivers(); },
+        [this](const InstanceName& receiver, std::string_view datagram) {
+          m_peers.SendUsage(receiver, datagram);
+        }};
+    m_usage = std::make_unique<UsageReports>(
+        duties, UsageSender{m_self.name, m_self.incarnation},
+        std::move(context));
+    m_gateway_context.count_usage = [this](const AccountName& account,
+                                           Duration ago) {
+      m_usage->Count(account, ago);
+    };
+  }
+
+  // The holder of the duties and the candidate that would replace it.
+  std::vector<InstanceName> UsageReceivers() const {
+    if (!m_duties) {
+      return {};
+    }
+    return HolderAndStandby(DutyCandidates(), m_duties->Lease().holder);
+  }
+
+  std::vector<DutyCandidate> DutyCandidates() const {
+    std::vector<DutyCandidate> candidates;
+    for (RelayCandidate& live : m_peers.LiveRelayCandidates()) {
+      candidates.push_back({std::move(live.name), live.capacity});
+    }
+    return candidates;
+  }
+
+  std::vector<InstanceName> LiveMembers() const {
+    std::vector<InstanceName> members{m_self.name};
+    for (PeerCandidate& peer : m_peers.PathCandidates()) {
+      members.push_back(std::move(peer.name));
+    }
+    return members;
+  }
+
   // The members that serve callers, without those that have lost their
   // upstreams: callers are served there as well, but by way of the others.
   std::vector<Member> PreferredMembers(Time now) const {
@@ -349,7 +407,13 @@
 
   // What the holder of the duties does for all. Each task is made only if the
   // settings name its duty.
-  std::vector<DutyTask> MakeDutyTasks() { return {}; }
+  std::vector<DutyTask> MakeDutyTasks() {
+    std::vector<DutyTask> tasks;
+    if (m_usage) {
+      tasks.push_back(m_usage->MakeTask());
+    }
+    return tasks;
+  }
 
   void StartDuties() {
     if (!m_settings.duties || m_shared_log == nullptr ||
@@ -357,21 +421,14 @@
       return;
     }
     m_duties.emplace(
-        DutyRunnerContext{
-            m_context, *m_shared_log, *m_platform_api, m_log, m_metrics,
-            [this] {
-              std::vector<DutyCandidate> candidates;
-              for (RelayCandidate& live : m_peers.LiveRelayCandidates()) {
-                candidates.push_back({std::move(live.name), live.capacity});
-              }
-              return candidates;
-            },
-            [this] { return m_router.Duties(); },
-            [this](const DutyNotice& notice) {
-              m_router.MergeDutyNotice(notice);
-              m_peers.RequestDigest();
-            },
-            BootNow},
+        DutyRunnerContext{m_context, *m_shared_log, *m_platform_api, m_log,
+                          m_metrics, [this] { return DutyCandidates(); },
+                          [this] { return m_router.Duties(); },
+                          [this](const DutyNotice& notice) {
+                            m_router.MergeDutyNotice(notice);
+                            m_peers.RequestDigest();
+                          },
+                          BootNow},
         DutyLeaseSettings{m_self.name, m_self.incarnation,
                           m_settings.duties->lease},
         MakeDutyTasks());
@@ -533,6 +590,9 @@
     }
     error_code ignored;
     m_acceptor.close(ignored);
+    if (m_usage) {
+      m_usage->SendAll();
+    }
     m_exit.set_value(m_gateway_context.active_exchanges == 0
                          ? GatewayExit::kStopped
                          : GatewayExit::kDrainTimedOut);
@@ -563,7 +623,9 @@
   PeerExchange m_peers;
   GatewayContext m_gateway_context;
   ReachMonitor m_reach;
-  std::optional<DutyRunner> m_duties;  // Nothing without duties.
+  WallClock m_wall_clock;
+  std::unique_ptr<UsageReports> m_usage;  // Null without the duty.
+  std::optional<DutyRunner> m_duties;     // Nothing without duties.
   tcp::acceptor m_acceptor;
   asio::signal_set m_signals;
   std::vector<std::shared_ptr<HttpServer>> m_servers;
--- a/src/link/clock.cc
+++ b/src/link/clock.cc
@@ -27,4 +27,9 @@
       seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec))};
 }
 
+Time TimeOfDay() {
+  return Time{std::chrono::duration_cast<Duration>(
+      std::chrono::system_clock::now().time_since_epoch())};
+}
+
 }  // namespace pomeloring
