Orders for upstreams by the holder of the autoscaler duty

Requests that wait at instances or were refused show in no upstream's load: each digest now has them by service (field 24), summed by relays, only where the settings name the duty. gateway.cc makes the task; the runner of the duties has to take it from m_duty_tasks.

A reclaimable upstream that drains because of an order of ours is no longer taken for a reclaim.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -225,7 +225,9 @@
 // meanwhile.
 asio::awaitable<bool> Exchange::WaitForCapacity() {
   CountEvent(m_gateway.metrics, "deferrals");
+  m_gateway.router.BeginWait(m_service);
   co_await SleepFor(kPlacementPollInterval);
+  m_gateway.router.EndWait(m_service);
   if (m_client_disconnected) {
     m_keep_alive = false;
     m_result.outcome = "client-gone";
@@ -233,6 +235,7 @@
     co_return false;
   }
   if (m_timed_out) {
+    m_gateway.router.RecordRefusal(m_service, Now());
     co_await ReplyAfterAttempt(AttemptEnd::kStopped);
     co_return false;
   }
--- a/src/gateway/exchange_replies.cc
+++ b/src/gateway/exchange_replies.cc
@@ -37,6 +37,9 @@
     co_await FinishStream(AttemptEnd::kBroken);
     co_return;
   }
+  if (unplaced.reason != PlacementRefusal::kQuarantined) {
+    m_gateway.router.RecordRefusal(m_service, Now());
+  }
   LocalReply reply = RefusalReply(unplaced.reason);
   reply.retry_after = std::max(unplaced.retry_after, kDefaultRetryAfter);
   if (m_origin && unplaced.reason == PlacementRefusal::kNoUpstream) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -23,6 +23,7 @@
 #include "gateway/peer_attempt.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/reach_monitor.h"
+#include "gateway/scaling_task.h"
 #include "gateway/serve_connection.h"
 #include "gateway/serve_peer_attempt.h"
 #include "gateway/store_feed.h"
@@ -135,6 +136,7 @@
         m_reach(m_gateway_context, [this] { return m_peers.PathCandidates(); }),
         m_acceptor(m_context),
         m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {
+    AddDutyTasks();
     m_gateway_context.on_load_change = [this] { m_peers.RequestDigest(); };
     m_gateway_context.record_connect = [this](UpstreamState& upstream,
                                               ProbeResult result) {
@@ -267,6 +269,16 @@
     return reaching.size() < kMinAddresses ? serving : reaching;
   }
 
+  void AddDutyTasks() {
+    if (m_settings.duties &&
+        m_settings.duties->duties.contains(Duty::kScaling)) {
+      m_router.EnableBacklogs();
+      m_scaling_task.emplace(
+          ScalingTaskContext{m_router, m_log, m_metrics, [] { return Now(); }});
+      m_duty_tasks.push_back(m_scaling_task->Task());
+    }
+  }
+
   void Spawn(asio::awaitable<void> task) {
     asio::co_spawn(m_context, std::move(task), asio::detached);
   }
@@ -527,6 +539,9 @@
   PeerExchange m_peers;
   GatewayContext m_gateway_context;
   ReachMonitor m_reach;
+  std::optional<ScalingTask> m_scaling_task;
+  // What this instance does for all while it holds the lease.
+  std::vector<DutyTask> m_duty_tasks;
   tcp::acceptor m_acceptor;
   asio::signal_set m_signals;
   std::vector<std::shared_ptr<HttpServer>> m_servers;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -56,6 +56,13 @@
   for (const auto& [name, count] : metrics.events) {
     out += fmt::format("pomeloring_{}_total {}\n", name, count);
   }
+  for (const auto& [result, count] : metrics.scaling_orders) {
+    out += fmt::format("pomeloring_scaling_orders_total{{result=\"{}\"}} {}\n",
+                       result, count);
+  }
+  for (const auto& [name, value] : metrics.gauges) {
+    out += fmt::format("pomeloring_{} {}\n", name, value);
+  }
   const auto config = router.Config();
   out += fmt::format(
       "pomeloring_config_version {}\npomeloring_newest_config_version {}\n"
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -27,7 +27,9 @@
   // By route and outcome.
   std::map<std::pair<std::string, std::string>, uint64_t> requests;
   std::map<std::string, LatencyHistogram> first_byte;  // By route.
-  std::map<std::string, uint64_t> events;  // Other counters, by name.
+  std::map<std::string, uint64_t> events;          // Other counters, by name.
+  std::map<std::string, uint64_t> scaling_orders;  // By result.
+  std::map<std::string, double> gauges;            // By name with labels.
 };
 
 void CountRequestEnd(GatewayMetrics& metrics,
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -137,6 +137,12 @@
   for (const TraitNotice& notice : digest.trait_notices) {
     EncodeTraitNotice(notice, *out.add_traits());
   }
+  for (const auto& [service, backlog] : digest.backlogs) {
+    wire::ServiceBacklog& entry = *out.add_backlogs();
+    entry.set_service(service.value);
+    entry.set_waiting(backlog.waiting);
+    entry.set_refused(backlog.refused);
+  }
   return out.SerializeAsString();
 }
 
@@ -201,6 +207,9 @@
   for (const wire::TraitNotice& entry : in.traits()) {
     digest.trait_notices.push_back(DecodeTraitNotice(entry));
   }
+  for (const wire::ServiceBacklog& entry : in.backlogs()) {
+    digest.backlogs[{entry.service()}] = {entry.waiting(), entry.refused()};
+  }
   return digest;
 }
 
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -9,6 +9,7 @@
 
 #include "core/ids.h"
 #include "routing/request_quarantine.h"
+#include "routing/service_backlog.h"
 #include "routing/upstream_state.h"
 
 namespace pomeloring {
@@ -62,6 +63,8 @@
   std::vector<UpstreamNotice> notices;
   // What is known against traits of requests; not all of it each time.
   std::vector<TraitNotice> trait_notices;
+  // Of the same instances as `loads`, always whole.
+  ServiceBacklogs backlogs;
 };
 
 // Splits a digest with many loads into several that fit into a datagram each.
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -372,6 +372,24 @@
   return attempt;
 }
 
+void Router::BeginWait(const ServiceName& service) {
+  if (m_backlog) {
+    ++m_backlog->waiting[service];
+  }
+}
+
+void Router::EndWait(const ServiceName& service) {
+  if (m_backlog) {
+    --m_backlog->waiting[service];
+  }
+}
+
+void Router::RecordRefusal(const ServiceName& service, Time now) {
+  if (m_backlog) {
+    CountRefusal(*m_backlog, service, now);
+  }
+}
+
 void Router::HandleEvents(PlacedAttempt& attempt, size_t count, Time now) {
   const uint64_t events_before = attempt.events;
   attempt.events += count;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -211,6 +211,14 @@
   // those that began here before another version of their service came.
   std::vector<KeyedOrigin> TakeOriginsToSend();
 
+  // Backlogs, which are counted and sent to peers only once this was called.
+  void EnableBacklogs() { m_backlog.emplace(); }
+  void BeginWait(const ServiceName& service);
+  void EndWait(const ServiceName& service);
+  void RecordRefusal(const ServiceName& service, Time now);
+  // Of all instances, as far as known.
+  ServiceBacklogs TotalBacklogs(Time now) const;
+
   // Peers.
   // In a large fleet some instances relay the digests of others; see
   // digest_relay.h.
@@ -294,6 +302,7 @@
   void DropPeerLoads(const InstanceName& peer);
   std::vector<uint32_t> LostUpstreamHashes() const;
   void UpdatePeerPaths(Time now);
+  ServiceBacklogs LocalBacklogs(Time now) const;
   PeerDigest MakeDigestHeader(bool leaving, bool reads_store, Time now);
   void QueuePart(const UpstreamState& upstream, uint64_t part, Time now);
   // Marks the load at the attempt's upstream as changed, for the next digests.
@@ -333,6 +342,7 @@
   std::vector<KeyedOrigin> m_origins_to_send;
   // Time of the last refusal for lack of capacity, by service and priority.
   std::map<ServiceName, std::map<uint32_t, Time>> m_last_refusals;
+  std::optional<BacklogCount> m_backlog;
   std::map<ServiceName, EngineEstimate> m_engines;
   uint64_t m_round_robin_index = 0;  // For kRoundRobin.
   std::map<InstanceName, PeerState> m_peers;
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -78,6 +78,19 @@
   return digest;
 }
 
+ServiceBacklogs Router::LocalBacklogs(Time now) const {
+  return m_backlog ? BacklogsOf(*m_backlog, now) : ServiceBacklogs{};
+}
+
+// A backlog that is counted elsewhere is not kept; see DropPeerLoads().
+ServiceBacklogs Router::TotalBacklogs(Time now) const {
+  ServiceBacklogs total = LocalBacklogs(now);
+  for (const auto& [name, peer] : m_peers) {
+    AddBacklogs(total, peer.digest.backlogs);
+  }
+  return total;
+}
+
 PeerDigest Router::BuildDigest(bool leaving,
                                bool reads_store,
                                Time now,
@@ -101,6 +114,7 @@
     }
   }
   m_changed_loads.clear();
+  digest.backlogs = LocalBacklogs(now);
   digest.cached_parts = TakeFront(m_parts_to_send);
   m_has_pending_changes = !m_parts_to_send.empty();
   return digest;
@@ -132,9 +146,11 @@
   m_last_full_group_digest =
       digest.changed_loads_only ? m_last_full_group_digest : now;
   std::set<InstanceName> group;
+  digest.backlogs = LocalBacklogs(now);
   for (const auto& [name, peer] : m_peers) {
     if (IsRelayedHere(peer, now)) {
       group.insert(name);
+      AddBacklogs(digest.backlogs, peer.digest.backlogs);
       if (peer.digest.ready) {
         digest.serving.push_back(ShortHash(name));
       }
@@ -169,6 +185,7 @@
       TakeTraitNotices(m_relayed_trait_notices, m_quarantine, now);
   const std::set<uint32_t> serving = ServingPeerHashes(now);
   const std::set<uint32_t> cut_off = CutOffPeerHashes(now);
+  const ServiceBacklogs backlogs = TotalBacklogs(now);
   std::vector<std::pair<UpstreamState*, UpstreamLoad>> totals;
   for (const auto& [name, state] : m_states) {
     DecayPrefillLoads(*state, now);
@@ -186,6 +203,8 @@
     digest.serving.assign(serving.begin(), serving.end());
     digest.cut_off.assign(cut_off.begin(), cut_off.end());
     digest.cached_parts = parts;
+    digest.backlogs = backlogs;
+    SubtractBacklogs(digest.backlogs, peer.digest.backlogs);
     for (const auto& [state, total] : totals) {
       UpstreamLoad load = total;
       if (const auto peer_load = state->peer_loads.find(name);
@@ -379,6 +398,7 @@
     }
   }
   found->second.counted_upstreams.clear();
+  found->second.digest.backlogs.clear();
 }
 
 bool Router::IsConfigBehind(const PeerDigest& digest) const {
--- a/src/scaling/scaling_plan.cc
+++ b/src/scaling/scaling_plan.cc
@@ -54,6 +54,9 @@
   return limits.reclaimable_price && *limits.reclaimable_price < 1;
 }
 
+// Of an upstream that an order has removed.
+constexpr Duration kMaxDrainTime = seconds(10);
+
 // --- What is there -----------------------------------------------------------
 
 // An accepted order whose upstreams have not appeared by then is given up: the
@@ -67,12 +70,27 @@
                                        : visible <= order.desired;
 }
 
+// Whether the platform takes upstreams away. Those that an order of ours has
+// removed may drain in the same way, but the others stay.
+bool IsReclaim(const Planner& planner,
+               const ScalingSubject& subject,
+               const UpstreamCount& count,
+               const SubjectState& known) {
+  if (count.reclaimed == 0 || subject.kind != UpstreamKind::kReclaimable) {
+    return false;
+  }
+  const uint32_t wanted = known.outstanding ? known.outstanding->desired
+                                            : known.settled.value_or(1);
+  return !IsWithin(known.lowered_at, kMaxDrainTime, planner.now) ||
+         (Visible(count) == 0 && wanted > 0);
+}
+
 void UpdateSubject(Planner& planner,
                    const ScalingSubject& subject,
                    const UpstreamCount& count) {
   SubjectState& known = planner.state.subjects[subject];
   const uint32_t visible = Visible(count);
-  if (count.reclaimed > 0 && subject.kind == UpstreamKind::kReclaimable) {
+  if (IsReclaim(planner, subject, count, known)) {
     planner.state.dry_until = planner.now + planner.policy.dry_time;
     known.outstanding.reset();  // Those that start are taken away as well.
     known.settled = visible;
--- a/tools/generate_wire.sh
+++ b/tools/generate_wire.sh
@@ -12,6 +12,7 @@
   --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" \
   proto/pomeloring.proto
 protoc -I proto --cpp_out="$out" proto/peer_digest.proto
+protoc -I proto --cpp_out="$out" proto/scaling_records.proto
 if [[ ${1:-} == --check ]]; then
   diff -r "$out" src/link/generated
   echo "generated code: up to date"
