--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -25,6 +25,7 @@
 #include "gateway/peer_attempt.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/reach_monitor.h"
+#include "gateway/scaling_task.h"
 #include "gateway/serve_connection.h"
 #include "gateway/serve_peer_attempt.h"
 #include "gateway/store_feed.h"
@@ -412,6 +413,12 @@
     if (m_usage) {
       tasks.push_back(m_usage->MakeTask());
     }
+    if (m_settings.duties->duties.contains(Duty::kScaling)) {
+      m_router.EnableBacklogs();
+      m_scaling.emplace(
+          ScalingTaskContext{m_router, m_log, m_metrics, [] { return Now(); }});
+      tasks.push_back(m_scaling->Task());
+    }
     return tasks;
   }
 
@@ -625,6 +632,7 @@
   ReachMonitor m_reach;
   WallClock m_wall_clock;
   std::unique_ptr<UsageReports> m_usage;  // Null without the duty.
+  std::optional<ScalingTask> m_scaling;   // Nothing without the duty.
   std::optional<DutyRunner> m_duties;     // Nothing without duties.
   tcp::acceptor m_acceptor;
   asio::signal_set m_signals;
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -145,6 +145,12 @@
   out.set_duty_position(digest.duties.position.value);
   out.set_duty_holder(digest.duties.holder.value);
   out.set_is_duty_released(digest.duties.is_released);
+  for (const auto& [service, backlog] : digest.backlogs) {
+    wire::ServiceBacklog& entry = *out.add_backlogs();
+    entry.set_service(service.value);
+    entry.set_waiting(backlog.waiting);
+    entry.set_refused(backlog.refused);
+  }
   return out.SerializeAsString();
 }
 
@@ -215,6 +221,9 @@
   }
   digest.duties = {
       {in.duty_position()}, {in.duty_holder()}, in.is_duty_released()};
+  for (const wire::ServiceBacklog& entry : in.backlogs()) {
+    digest.backlogs[{entry.service()}] = {entry.waiting(), entry.refused()};
+  }
   return digest;
 }
 
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -8,9 +8,10 @@
 #include <vector>
 
 #include "core/ids.h"
-#include "routing/exit_notice.h"
 #include "duties/duty_notice.h"
+#include "routing/exit_notice.h"
 #include "routing/request_quarantine.h"
+#include "routing/service_backlog.h"
 #include "routing/upstream_state.h"
 
 namespace pomeloring {
@@ -68,6 +69,8 @@
   std::vector<TraitNotice> trait_notices;
   // The newest record of the duties that the sender knows of.
   DutyNotice duties;
+  // Of the same instances as `loads`, always whole.
+  ServiceBacklogs backlogs;
 };
 
 // Splits a digest with many loads into several that fit into a datagram each.
