Usage: final counts reach a holder through cuts of some seconds

A partition of 5 s across a window's end lost the cut instance's last second (3.9 % of the total of six): final reports were sent three times within 0.8 s, and the window closed 2 s after its end if the instance was taken for dead. Final reports that were sent before a new holder was known were not repeated either.

Final reports are sent five times within 5.4 s, twice again to a new receiver, and members that are gone get 4 s. Counts are forgotten after 120 s also at an instance that has lost the duty. The two clocks are read again if the process was suspended between them.

--- a/src/duties/usage_codec.cc
+++ b/src/duties/usage_codec.cc
@@ -282,7 +282,7 @@
     if (!report) {
       return false;
     }
-    const auto since = restored.counting_since.find(report->sender);
+    const auto since = restored.counting_since.find(report->sender.name);
     report->counting_since =
         since == restored.counting_since.end() ? now : since->second;
     MergeReport(restored, *report, now);
--- a/src/duties/usage_windows.cc
+++ b/src/duties/usage_windows.cc
@@ -1,6 +1,7 @@
 #include "duties/usage_windows.h"
 
 #include <algorithm>
+#include <array>
 
 namespace pomeloring {
 namespace {
@@ -8,16 +9,22 @@
 // A report of the changes at an instance; those of the last one are lost if it
 // is killed.
 constexpr Duration kReportInterval = milliseconds(400);
-// Of the final counts of a window. They repair lost datagrams: the counts of an
-// account are few, so that one lost request can exceed the tolerance.
-constexpr int kFinalReports = 3;
+// After a window's end, of its final reports. They repair lost datagrams: the
+// counts of an account are few, so that one lost request can exceed the
+// tolerance. The last ones reach a holder that was cut off for some seconds.
+constexpr std::array<Duration, 5> kFinalReportDelays = {
+    milliseconds(0), milliseconds(400), milliseconds(1400), milliseconds(3200),
+    milliseconds(5400)};
+// Of these, the last ones that a new holder gets at once.
+constexpr size_t kRepeatedFinalReports = 2;
 // Bounds the memory of an instance. A new holder asks for no older window.
 constexpr uint64_t kCountedWindows = 6;
 // After a window's end, counts of live members are awaited this long.
 constexpr Duration kMaxWait = seconds(6);
 // Senders that were heard in the window and are not alive any more may be
-// leaving, and then send final counts; others are dead.
-constexpr Duration kMaxWaitForGone = seconds(2);
+// leaving, frozen or cut off, and then send final counts; others are dead. The
+// report stays in time even if the holder is lost and replaced meanwhile.
+constexpr Duration kMaxWaitForGone = seconds(4);
 // A new holder has been sent all counts again after this time: the holder's
 // name reaches all within 0.5 s, and reports are sent every 0.4 s.
 constexpr Duration kTakeOverWait = milliseconds(1500);
@@ -25,6 +32,9 @@
 constexpr Duration kSendReserve = seconds(1);
 // Older windows are not sent.
 constexpr Duration kMaxReportAge = seconds(60);
+// Older counts are forgotten by instances that do not report, also by one that
+// has lost the duty.
+constexpr Duration kMaxCountAge = 2 * kMaxReportAge;
 
 UsageWindow OldestReported(Time now, Duration length) {
   return WindowAt(now - kMaxReportAge, length);
@@ -148,8 +158,10 @@
   UpdateKeptWindows(counter, now);
   UsageReport report{counter.self, counter.counting_since, {}};
   for (auto& [id, window] : counter.windows) {
-    const bool has_ended = now >= EndOf(id, counter.window_length);
-    const bool is_final = has_ended && window.final_reports < kFinalReports;
+    const Time end = EndOf(id, counter.window_length);
+    const bool has_ended = now >= end;
+    const bool is_final = window.final_reports < kFinalReportDelays.size() &&
+                          now >= end + kFinalReportDelays[window.final_reports];
     if (!is_final && window.unsent.empty()) {
       continue;
     }
@@ -172,14 +184,16 @@
   return report;
 }
 
-UsageReport ReportAll(const UsageCounter& counter, Time now) {
-  UsageReport report{counter.self, counter.counting_since, {}};
-  for (const auto& [id, window] : counter.windows) {
-    report.windows.push_back({id, TotalOf(window.counts),
-                              now >= EndOf(id, counter.window_length),
-                              window.counts});
+void ResendAll(UsageCounter& counter) {
+  counter.last_report_at = Time{};
+  for (auto& [id, window] : counter.windows) {
+    window.final_reports =
+        std::min(window.final_reports,
+                 kFinalReportDelays.size() - kRepeatedFinalReports);
+    for (const auto& [account, count] : window.counts) {
+      window.unsent.insert(account);
+    }
   }
-  return report;
 }
 
 // --- At the holder and the first other candidate -----------------------------
@@ -189,7 +203,8 @@
 void MergeReport(UsageCollection& collection,
                  const UsageReport& report,
                  Time now) {
-  collection.counting_since[report.sender] = report.counting_since;
+  Time& since = collection.counting_since[report.sender.name];
+  since = std::max(since, report.counting_since);
   ExpireWindows(collection, now);
   const UsageWindow oldest =
       std::max(collection.next, OldestReported(now, collection.window_length));
@@ -217,9 +232,8 @@
   }
   const Duration length = collection.window_length;
   const std::set<InstanceName> live(live_members.begin(), live_members.end());
-  std::erase_if(collection.counting_since, [&](const auto& entry) {
-    return !live.contains(entry.first.name);
-  });
+  std::erase_if(collection.counting_since,
+                [&](const auto& entry) { return !live.contains(entry.first); });
   const UsageWindow oldest = OldestReported(now, length);
   const auto drop_old = [&](auto& windows) {
     for (auto at = windows.begin();
@@ -301,11 +315,9 @@
 }
 
 void ExpireWindows(UsageCollection& collection, Time now) {
-  if (!collection.held_since) {
-    const UsageWindow oldest = OldestReported(now, collection.window_length);
-    collection.open.erase(collection.open.begin(),
-                          collection.open.lower_bound(oldest));
-  }
+  collection.open.erase(collection.open.begin(),
+                        collection.open.lower_bound(WindowAt(
+                            now - kMaxCountAge, collection.window_length)));
 }
 
 }  // namespace pomeloring
--- a/src/duties/usage_windows.h
+++ b/src/duties/usage_windows.h
@@ -51,7 +51,7 @@
   struct Window {
     AccountCounts counts;
     std::set<AccountName> unsent;  // Whose counts have changed.
-    int final_reports = 0;         // Sent since the window's end.
+    size_t final_reports = 0;      // Sent since the window's end.
   };
   UsageSender self;
   Duration window_length = seconds(5);
@@ -67,9 +67,9 @@
 // Returns the report that is due, if any: the changes, and all counts of
 // windows that have ended.
 std::optional<UsageReport> TakeReport(UsageCounter& counter, Time now);
-// Returns all counts that may still be reported, for a new holder or before the
-// process ends.
-UsageReport ReportAll(const UsageCounter& counter, Time now);
+// Makes the next report due now, with all counts that are kept, as for a new
+// holder.
+void ResendAll(UsageCounter& counter);
 
 // --- At the holder and the first other candidate -----------------------------
 
@@ -104,7 +104,7 @@
   UsageWindow next = 0;
   // When this instance gained the duty; without it, it only collects.
   std::optional<Time> held_since;
-  std::map<UsageSender, Time> counting_since;
+  std::map<InstanceName, Time> counting_since;  // Of the present processes.
 };
 
 // Merges a report in any order, any number of times.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -269,9 +269,12 @@
     UsageReportsContext context{
         {m_log, m_metrics,
          [this] {
-           return AdvanceWallClock(m_wall_clock, TimeOfDay(), Boottime());
+           const ClockReadings clocks = ReadClocks();
+           return AdvanceWallClock(m_wall_clock, clocks.time_of_day,
+                                   clocks.boottime);
          },
          [this] { return LiveMembers(); }},
+        // Supplied by the runner of the duties, which knows the holder.
         [] { return std::vector<InstanceName>(); },
         [this](const InstanceName& receiver, std::string_view datagram) {
           m_peers.SendUsage(receiver, datagram);
--- a/src/gateway/usage_reports.cc
+++ b/src/gateway/usage_reports.cc
@@ -32,7 +32,7 @@
       });
   m_receivers = std::move(receivers);
   if (has_new_receiver) {
-    Send(ReportAll(m_counter, now));
+    ResendAll(m_counter);
   }
   if (const auto report = TakeReport(m_counter, now)) {
     Send(*report);
@@ -40,8 +40,8 @@
 }
 
 void UsageReports::SendAll() {
-  m_receivers = m_context.usage_receivers();
-  Send(ReportAll(m_counter, m_context.task.now()));
+  ResendAll(m_counter);
+  Tick();
 }
 
 void UsageReports::Send(const UsageReport& report) {
--- a/src/link/clock.cc
+++ b/src/link/clock.cc
@@ -11,6 +11,17 @@
       std::chrono::steady_clock::now();
 };
 
+// Between two readings of clocks that are taken for simultaneous.
+constexpr Duration kMaxReadingTime = milliseconds(1);
+
+Duration Boottime() {
+  timespec reading{};
+  clock_gettime(CLOCK_BOOTTIME, &reading);
+  return seconds(reading.tv_sec) +
+         std::chrono::duration_cast<Duration>(
+             std::chrono::nanoseconds(reading.tv_nsec));
+}
+
 }  // namespace
 
 Time Now() {
@@ -20,17 +31,17 @@
   return Time{std::chrono::duration_cast<Duration>(wall)};
 }
 
-Time TimeOfDay() {
-  return Time{std::chrono::duration_cast<Duration>(
-      std::chrono::system_clock::now().time_since_epoch())};
-}
-
-Duration Boottime() {
-  timespec reading{};
-  clock_gettime(CLOCK_BOOTTIME, &reading);
-  return seconds(reading.tv_sec) +
-         std::chrono::duration_cast<Duration>(
-             std::chrono::nanoseconds(reading.tv_nsec));
+// Reads again if the process was suspended between the two.
+ClockReadings ReadClocks() {
+  ClockReadings readings;
+  Duration before;
+  do {
+    before = Boottime();
+    readings.time_of_day = Time{std::chrono::duration_cast<Duration>(
+        std::chrono::system_clock::now().time_since_epoch())};
+    readings.boottime = Boottime();
+  } while (readings.boottime - before > kMaxReadingTime);
+  return readings;
 }
 
 }  // namespace pomeloring
--- a/src/link/clock.h
+++ b/src/link/clock.h
@@ -1,7 +1,7 @@
 // Defines Now(): the time that a process passes to the core. It is the wall
 // time of the first call plus the steady clock's progress since then, so it
-// never goes backwards. Defines TimeOfDay() and Boottime() for what must hold
-// across suspensions of the process and between instances.
+// never goes backwards. Defines ReadClocks() for what must hold across
+// suspensions of the process and between instances.
 
 #ifndef POMELORING_LINK_CLOCK_H_
 #define POMELORING_LINK_CLOCK_H_
@@ -12,10 +12,13 @@
 
 Time Now();
 
-// Since 1970, as set on this machine now: it may jump.
-Time TimeOfDay();
-// CLOCK_BOOTTIME: the time since the machine started, suspensions included.
-Duration Boottime();
+// Two clocks that were read at the same time.
+struct ClockReadings {
+  Time time_of_day;      // As set on this machine now: it may jump.
+  Duration boottime{0};  // Since the machine started, suspensions included.
+};
+
+ClockReadings ReadClocks();
 
 }  // namespace pomeloring
 
