--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -271,8 +271,9 @@
     UsageReportsContext context{
         {m_log, m_metrics,
          [this] {
-           return AdvanceWallClock(m_wall_clock, TimeOfDay(),
-                                   BootNow().time_since_epoch());
+           const ClockReadings clocks = ReadClocks();
+           return AdvanceWallClock(m_wall_clock, clocks.time_of_day,
+                                   clocks.boottime);
          },
          [this] { return LiveMembers(); }},
         [this] { return UsageReceivers(); },
--- a/src/link/clock.cc
+++ b/src/link/clock.cc
@@ -11,6 +11,18 @@
       std::chrono::steady_clock::now();
 };
 
+// Between two readings of clocks that are taken for simultaneous.
+constexpr Duration kMaxReadingTime = milliseconds(1);
+constexpr int kMaxReadings = 4;
+
+Duration Boottime() {
+  timespec reading{};
+  clock_gettime(CLOCK_BOOTTIME, &reading);
+  return seconds(reading.tv_sec) +
+         std::chrono::duration_cast<Duration>(
+             std::chrono::nanoseconds(reading.tv_nsec));
+}
+
 }  // namespace
 
 Time Now() {
@@ -21,15 +33,23 @@
 }
 
 Time BootNow() {
-  timespec now{};
-  clock_gettime(CLOCK_BOOTTIME, &now);
-  return Time{std::chrono::duration_cast<Duration>(
-      seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec))};
+  return Time{Boottime()};
 }
 
-Time TimeOfDay() {
-  return Time{std::chrono::duration_cast<Duration>(
-      std::chrono::system_clock::now().time_since_epoch())};
+// Reads again if the process was suspended between the two. On a machine that
+// is always slower than that, the last reading counts.
+ClockReadings ReadClocks() {
+  ClockReadings readings;
+  for (int i = 0; i < kMaxReadings; ++i) {
+    const Duration before = Boottime();
+    readings.time_of_day = Time{std::chrono::duration_cast<Duration>(
+        std::chrono::system_clock::now().time_since_epoch())};
+    readings.boottime = Boottime();
+    if (readings.boottime - before <= kMaxReadingTime) {
+      break;
+    }
+  }
+  return readings;
 }
 
 }  // namespace pomeloring
--- a/src/link/clock.h
+++ b/src/link/clock.h
@@ -1,8 +1,7 @@
 // Defines Now(): the time that a process passes to the core. It is the wall
 // time of the first call plus the steady clock's progress since then, so it
-// never goes backwards. BootNow() also counts the time that the machine was
-// suspended, for leases: others count it too. TimeOfDay() is for what must hold
-// between instances.
+// never goes backwards. Defines ReadClocks() for what must hold across
+// suspensions of the process and between instances.
 
 #ifndef POMELORING_LINK_CLOCK_H_
 #define POMELORING_LINK_CLOCK_H_
@@ -12,11 +11,17 @@
 namespace pomeloring {
 
 Time Now();
-// Since the machine started. Not comparable with Now().
+// Since the machine started, suspensions included: for leases, whose other side
+// counts them too. Not comparable with Now().
 Time BootNow();
 
-// Since 1970, as set on this machine now: it may jump.
-Time TimeOfDay();
+// Two clocks that were read at the same time.
+struct ClockReadings {
+  Time time_of_day;      // As set on this machine now: it may jump.
+  Duration boottime{0};  // Since the machine started, suspensions included.
+};
+
+ClockReadings ReadClocks();
 
 }  // namespace pomeloring
 
