The first record of the duties counts; runner and API tests

A claim at position 0 looked like one that a peer had already told of, so the next candidate did not wait for it: two instances claimed within 250 ms on an empty log.

The stand-in of the platform accepts appends with a condition and the calls of the duties, with refusals, delays and lost replies.

--- a/src/duties/duty_lease.cc
+++ b/src/duties/duty_lease.cc
@@ -85,7 +85,7 @@
 void LearnRecord(DutyLease& lease, const DutyRecord& record, Time now) {
   lease.newest = record.at;
   lease.holder = record.holder;
-  if (record.at > lease.noticed) {
+  if (!lease.noticed || record.at > *lease.noticed) {
     lease.learned_at = now;
   }
   lease.is_release_noticed = false;
@@ -205,7 +205,7 @@
 }
 
 LogOffset NextDutyRead(const DutyLease& lease) {
-  return std::max(lease.next, lease.noticed);
+  return std::max(lease.next, lease.noticed.value_or(LogOffset{}));
 }
 
 void ApplyDutyPage(DutyLease& lease,
@@ -214,11 +214,11 @@
                    LogOffset end,
                    Time now) {
   const LogOffset first = records.empty() ? end : records.front().position;
-  const bool is_noticed = from == lease.noticed && from.value > 0;
+  const bool is_noticed = from == lease.noticed;
   if (first != from || (!lease.has_read && !is_noticed)) {
     RecordGap(lease, now);
     // A position from a peer that the log does not have must not be read again.
-    lease.noticed = {};
+    lease.noticed.reset();
     lease.next = records.empty() ? end : lease.next;
   }
   lease.has_read = true;
@@ -235,14 +235,15 @@
 
 void ApplyDutyGap(DutyLease& lease, LogOffset first_retained, Time now) {
   RecordGap(lease, now);
-  lease.noticed = {};
+  lease.noticed.reset();
   lease.next = first_retained;
   lease.has_read = true;
   DropSettledAppends(lease);
 }
 
 void ApplyDutyNotice(DutyLease& lease, const DutyNotice& notice, Time now) {
-  if (notice.position <= lease.noticed ||
+  if (notice.position.value == 0 ||
+      (lease.noticed && notice.position <= *lease.noticed) ||
       (lease.newest && notice.position <= *lease.newest)) {
     return;
   }
--- a/src/duties/duty_lease.h
+++ b/src/duties/duty_lease.h
@@ -42,8 +42,8 @@
   // What is known of the log. Positions of restored records precede those of
   // records written after the restore, whatever their offset.
   LogOffset next;  // Position after the last record that was read.
-  std::optional<LogOffset> newest;  // Of the newest record: its `at`.
-  LogOffset noticed;                // The newest that peers have told of.
+  std::optional<LogOffset> newest;   // Of the newest record: its `at`.
+  std::optional<LogOffset> noticed;  // The newest that peers have told of.
   InstanceName holder;    // Of the newest record or notice; empty: none known.
   Time learned_at;        // Of it, or of a restore or gap.
   bool has_read = false;  // Any page.
--- a/standins/platform.cc
+++ b/standins/platform.cc
@@ -1,6 +1,7 @@
 // A stand-in for the platform's store: a log with topics, some of them keyed,
-// that serves the platform's API. POST /control writes the records of operators
-// and upstreams, and injects faults.
+// that serves the platform's API, and the calls that one instance makes for
+// all. POST /control writes the records of operators and upstreams, and injects
+// faults; GET /calls lists the calls.
 
 #include <fmt/format.h>
 
@@ -41,6 +42,11 @@
   int delay_ms = 0;              // Before each call is handled.
   int lose_replies = 0;          // Appends to apply without a reply.
   size_t retention = 1'000'000;  // Max records per topic.
+  // Calls to the API.
+  json::array api_calls;      // As received, in their order.
+  int api_refuse_status = 0;  // Status of the reply to every call, unless 0.
+  int api_delay_ms = 0;       // Before each reply.
+  int api_lose_replies = 0;   // Calls to accept without a reply.
 };
 
 asio::awaitable<void> Sleep(int64_t ms) {
@@ -98,6 +104,13 @@
     co_return;
   }
   const uint64_t offset = EndOffset(state.topics[name]);
+  const std::string at = QueryParameter(exchange.Request().target(), "at");
+  if (!at.empty() && ParseNumber(at, 0) != offset) {
+    json::object differs;
+    differs["end"] = offset;
+    co_await exchange.Respond(JsonReply(differs, 412));
+    co_return;
+  }
   for (const std::string& record : parsed->records) {
     AddRecord(state, name, record);
   }
@@ -193,9 +206,55 @@
       NumberField(control, "lose_replies", state.lose_replies));
   state.retention = static_cast<size_t>(
       NumberField(control, "retention", static_cast<double>(state.retention)));
+  state.api_refuse_status = static_cast<int>(
+      NumberField(control, "api_refuse", state.api_refuse_status));
+  state.api_delay_ms = static_cast<int>(
+      NumberField(control, "api_delay_ms", state.api_delay_ms));
+  state.api_lose_replies = static_cast<int>(
+      NumberField(control, "api_lose_replies", state.api_lose_replies));
   PutRecords(state, control);
 }
 
+// Records the call with its sender and when it came.
+asio::awaitable<void> ServeApiCall(State& state,
+                                   const std::string& path,
+                                   HttpExchange& exchange) {
+  const HttpRequest& request = exchange.Request();
+  json::error_code error;
+  json::value body = json::parse(request.body(), error);
+  const auto holder = request.find("X-Duty-Holder");
+  const auto token = request.find("X-Fencing-Token");
+  if (error || holder == request.end() || token == request.end()) {
+    HttpReply refusal = ErrorReply("not a call of a holder", 400);
+    co_await exchange.Respond(std::move(refusal));
+    co_return;
+  }
+  json::object call;
+  call["path"] = path;
+  call["holder"] = std::string(holder->value());
+  call["token"] = ParseNumber(std::string(token->value()), 0);
+  call["at_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(
+                      std::chrono::steady_clock::now().time_since_epoch())
+                      .count();
+  call["status"] = state.api_refuse_status == 0 ? 200 : state.api_refuse_status;
+  call["body"] = std::move(body);
+  state.api_calls.push_back(std::move(call));
+  const int status = state.api_refuse_status;
+  if (state.api_delay_ms > 0) {
+    co_await Sleep(state.api_delay_ms);
+  }
+  if (state.api_lose_replies > 0) {
+    --state.api_lose_replies;
+    exchange.Abort();
+    co_return;
+  }
+  json::object empty;
+  HttpReply reply = status == 0
+                        ? JsonReply(empty)
+                        : ErrorReply("refused", static_cast<unsigned>(status));
+  co_await exchange.Respond(std::move(reply));
+}
+
 asio::awaitable<void> Serve(State& state, HttpExchange& exchange) {
   const HttpRequest& request = exchange.Request();
   const std::string target(request.target());
@@ -206,6 +265,17 @@
     co_await exchange.Respond(JsonReply(json::object()));
     co_return;
   }
+  if (path == "/calls") {
+    json::object calls;
+    calls["calls"] = state.api_calls;
+    co_await exchange.Respond(JsonReply(calls));
+    co_return;
+  }
+  // Its faults are its own.
+  if (path == "/usage" || path == "/scale") {
+    co_await ServeApiCall(state, path, exchange);
+    co_return;
+  }
   if (state.delay_ms > 0) {
     co_await Sleep(state.delay_ms);
   }
--- a/test/fuzz/duties_have_one_holder_test.cc
+++ b/test/fuzz/duties_have_one_holder_test.cc
@@ -61,7 +61,7 @@
 
 // The topic in its present era.
 struct LogModel {
-  uint64_t era = 1;
+  uint64_t era = 0;
   uint64_t first = 0;
   std::vector<DutyRecord> records;  // From offset 0.
   bool is_down = false;
