--- a/src/ctl/log_report.cc
+++ b/src/ctl/log_report.cc
@@ -37,7 +37,9 @@
       "reloaded",
       "store-lost",
       "store-regained",
-      "configuration-taken"};
+      "configuration-taken",
+      "duties-gained",
+      "duties-lost"};
   return kInstanceEvents.contains(line.event) &&
          instances.contains(line.instance);
 }
--- a/src/gateway/duty_task.h
+++ b/src/gateway/duty_task.h
@@ -38,7 +38,9 @@
   std::function<void()> reset;
   std::function<void(std::string_view snapshot)> restore;
   std::function<void(std::string_view decision)> replay;
-  // The state that must outlive the instance; written about once a second.
+  // The state that must outlive the instance; written about once a second. It
+  // holds the decisions for which Record() has returned true: update the state
+  // before the next suspension.
   std::function<std::string()> snapshot;
   // Called about every 100 ms while the lease is held, never twice at a time.
   std::function<boost::asio::awaitable<void>(DutySession&)> run;
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -107,8 +107,8 @@
   return digest;
 }
 
-// A change is passed on with the next digest: relays, and thereby instances that
-// are not among the first to claim, learn of it within two idle intervals.
+// Passed on with the next digest that is due: a candidate that learns of it
+// later only waits longer.
 void Router::MergeDutyNotice(const DutyNotice& notice) {
   if (notice.position > m_duties.position) {
     m_duties = notice;
--- a/test/routing/large_fleet_shares_loads_test.cc
+++ b/test/routing/large_fleet_shares_loads_test.cc
@@ -52,6 +52,22 @@
   }
 }
 
+// Guards against candidates that claim the duties since relays kept a renewal
+// to themselves, and against an old digest that hides a newer one.
+TEST_CASE("All of 88 instances learn of the newest record of the duties") {
+  RelayedFleet fleet = MakeFleet(88, kEngines, kNow);
+  const DutyNotice newest{{7}, {"b"}, false};
+  fleet.begin()->second.router->MergeDutyNotice(newest);
+  fleet.rbegin()->second.router->MergeDutyNotice({{6}, {"a"}, true});
+  for (int round = 1; round <= 3; ++round) {
+    ExchangeDigests(fleet, kNow + milliseconds(40 * round));
+  }
+  for (const auto& [name, instance] : fleet) {
+    CAPTURE(name.value);
+    CHECK(instance.router->Duties() == newest);
+  }
+}
+
 TEST_CASE("Attempts that end between full digests are removed everywhere") {
   RelayedFleet fleet = MakeFleet(40, kEngines, kNow);
   auto attempts = StartOneEach(fleet);
