--- a/src/gateway/exchange_streams.cc
+++ b/src/gateway/exchange_streams.cc
@@ -4,6 +4,7 @@
 
 #include "gateway/exchange.h"
 #include "link/clock.h"
+#include "routing/stream_resumption.h"
 
 namespace pomeloring {
 
@@ -24,22 +25,19 @@
 // other, the stream began there.
 asio::awaitable<std::optional<LocalReply>> Exchange::FindOriginOfResumed() {
   const StreamOrigins& known = m_gateway.router.Origins();
-  StreamOriginReport report{FindOrigin(known, KeyOfStream()),
-                            RecentVersions(known, m_service)};
+  StreamOriginReport report = ReportOrigin(known, KeyOfStream(), m_service);
   const char* source = "here";
   if (!report.origin && (report.recent_versions.size() > 1 ||
                          !KnowsAllRecentVersions(known, Now()))) {
-    auto told = co_await m_gateway.ask_for_origin(KeyOfStream(), m_service);
-    report.origin = std::move(told.origin);
-    report.recent_versions.merge(told.recent_versions);
+    MergeReport(report,
+                co_await m_gateway.ask_for_origin(KeyOfStream(), m_service));
     source = "peers";
   }
-  if (!report.origin && report.recent_versions.size() <= 1) {
-    report.origin =
-        StreamOrigin{m_service, report.recent_versions.empty()
-                                    ? std::string()
-                                    : *report.recent_versions.begin()};
+  const bool is_recorded = report.origin.has_value();
+  auto resolved = ResolveOrigin(report, m_service);
+  if (auto* origin = std::get_if<StreamOrigin>(&resolved); !is_recorded) {
     source = "only version";
+    report.origin = origin == nullptr ? std::nullopt : std::optional(*origin);
   }
   m_gateway.log.Write(
       LogLevel::kInfo, "stream-taken-up",
--- a/src/gateway/peer_codec.h
+++ b/src/gateway/peer_codec.h
@@ -10,6 +10,7 @@
 
 #include "routing/peer_digest.h"
 #include "routing/stream_origins.h"
+#include "routing/stream_resumption.h"
 #include "routing/text_delta.h"
 
 namespace pomeloring {
@@ -33,12 +34,6 @@
   std::vector<StoredUpstream> upstreams;
 };
 
-// What an instance knows of the origin of one stream.
-struct StreamOriginReport {
-  std::optional<StreamOrigin> origin;
-  std::set<std::string> recent_versions;  // Of the service asked for.
-};
-
 std::string EncodeDigest(const PeerDigest& digest);
 // Returns nothing for malformed bytes.
 std::optional<PeerDigest> DecodeDigest(std::string_view bytes);
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -438,10 +438,7 @@
   const auto* response = std::get_if<HttpResponseMessage>(&result);
   if (response != nullptr && response->result() == http::status::ok) {
     if (auto report = DecodeOriginReport(response->body())) {
-      inquiry->report.recent_versions.merge(report->recent_versions);
-      if (report->origin) {
-        inquiry->report.origin = std::move(report->origin);
-      }
+      MergeReport(inquiry->report, std::move(*report));
     }
   }
   if (--inquiry->unanswered == 0 || inquiry->report.origin) {
@@ -450,9 +447,9 @@
 }
 
 StreamOriginReport PeerExchange::ReportOrigin(std::string_view target) const {
-  const StreamOrigins& origins = m_context.router.Origins();
-  return {FindOrigin(origins, QueryNumber(target, kStreamParameter)),
-          RecentVersions(origins, {QueryText(target, kServiceParameter)})};
+  return pomeloring::ReportOrigin(m_context.router.Origins(),
+                                  QueryNumber(target, kStreamParameter),
+                                  {QueryText(target, kServiceParameter)});
 }
 
 void PeerExchange::HandleDigestBytes(std::string_view bytes) {
--- /dev/null
+++ b/src/routing/stream_resumption.h
@@ -0,0 +1,41 @@
+// Defines ResolveOrigin(): at which software version a stream goes on that its
+// caller resumes.
+
+#ifndef POMELORING_ROUTING_STREAM_RESUMPTION_H_
+#define POMELORING_ROUTING_STREAM_RESUMPTION_H_
+
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "routing/stream_origins.h"
+
+namespace pomeloring {
+
+// What an instance, or several, know of the origin of one stream.
+struct StreamOriginReport {
+  std::optional<StreamOrigin> origin;
+  std::set<std::string> recent_versions;  // Of the service asked for.
+};
+
+// What one instance knows of a stream of `service`.
+StreamOriginReport ReportOrigin(const StreamOrigins& origins,
+                                StreamKey key,
+                                const ServiceName& service);
+// Adds what another instance knows.
+void MergeReport(StreamOriginReport& report, StreamOriginReport other);
+
+enum class ResumptionRefusal { kVersionsDiffer, kVersionsUnknown };
+std::string_view ToString(ResumptionRefusal refusal);
+
+// Returns the origin that is recorded, or the only version that the stream can
+// have begun at.
+std::variant<StreamOrigin, ResumptionRefusal> ResolveOrigin(
+    const StreamOriginReport& report,
+    const ServiceName& service);
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_ROUTING_STREAM_RESUMPTION_H_
