Keep where streams began in the platform's log

Cause: the origin of a stream was held in memory only, and an instance that had just started took the one version that it saw for the only one.

Change: origins of streams are appended to pomeloring.stream-origins 250 ms after the first event while versions of the service differ; in fleets of more than 16, 16 appenders chosen by rendezvous hashing do it for all. After a start the log is read: origins, pomeloring.service-versions and the history of the registrations, which tells the versions that served lately. An instance that does not know all versions refuses. Nothing is done without a resumable route or without a shared log.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -46,6 +46,7 @@
   std::optional<LocalReply> Admit();
   // Finds out at which version the stream began that the request takes up.
   // Returns the reply if it can't go on.
+  boost::asio::awaitable<StreamOriginReport> CollectOriginReport();
   boost::asio::awaitable<std::optional<LocalReply>> FindOriginOfResumed();
   bool IsResumption() const;
   StreamKey KeyOfStream() const;
@@ -103,6 +104,7 @@
   bool m_event_too_long = false;  // In the attempt in progress.
   // Where the stream began, once it has an event; it goes on only there.
   std::optional<StreamOrigin> m_origin;
+  OriginSource m_origin_source = OriginSource::kMemory;
   std::optional<EventSplitter> m_event_splitter;
   UpstreamReply m_last_reply;
   RequestResult m_result;
--- a/src/gateway/exchange_streams.cc
+++ b/src/gateway/exchange_streams.cc
@@ -10,6 +10,27 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+// A caller whose stream is not known waits this long for the log to be read.
+constexpr Duration kMaxLogWait = milliseconds(300);
+
+std::string_view CounterOf(OriginSource source) {
+  switch (source) {
+    case OriginSource::kMemory:
+      return "resumptions_from_memory";
+    case OriginSource::kPeer:
+      return "resumptions_from_peers";
+    case OriginSource::kLog:
+      return "resumptions_from_log";
+    case OriginSource::kOnlyVersion:
+      return "resumptions_at_only_version";
+  }
+  return "";
+}
+
+}  // namespace
+
 // --- Origin ------------------------------------------------------------------
 
 bool Exchange::IsResumption() const {
@@ -21,45 +42,80 @@
   return StreamKeyOf(is_named ? m_metadata.resumes : m_metadata.id);
 }
 
-// While only one version of the service has served, and peers have seen no
-// other, the stream began there.
-asio::awaitable<std::optional<LocalReply>> Exchange::FindOriginOfResumed() {
+// Without a log, an instance that has just started takes the version that it
+// sees for the only one, as it has nothing to read.
+asio::awaitable<StreamOriginReport> Exchange::CollectOriginReport() {
   const StreamOrigins& known = m_gateway.router.Origins();
-  StreamOriginReport report = ReportOrigin(known, KeyOfStream(), m_service);
-  const char* source = "here";
-  if (!report.origin && (report.recent_versions.size() > 1 ||
-                         !KnowsAllRecentVersions(known, Now()))) {
-    MergeReport(report,
-                co_await m_gateway.ask_for_origin(KeyOfStream(), m_service));
-    source = "peers";
+  const StreamKey key = KeyOfStream();
+  const auto is_open = [](const StreamOriginReport& report) {
+    return !report.origin &&
+           (report.recent_versions.size() > 1 || !report.knows_all_versions);
+  };
+  const Time began_at = Now();
+  StreamOriginReport report = ReportOrigin(known, key, m_service, began_at);
+  m_origin_source =
+      IsFromLog(known, key) ? OriginSource::kLog : OriginSource::kMemory;
+  const bool has_log = static_cast<bool>(m_gateway.await_logged_origins);
+  if (has_log && is_open(report)) {
+    co_await m_gateway.await_logged_origins(Duration{0});  // Begins to read.
   }
-  const bool is_recorded = report.origin.has_value();
-  auto resolved = ResolveOrigin(report, m_service);
-  if (auto* origin = std::get_if<StreamOrigin>(&resolved); !is_recorded) {
-    source = "only version";
-    report.origin = origin == nullptr ? std::nullopt : std::optional(*origin);
+  if (is_open(report)) {
+    MergeReport(report, co_await m_gateway.ask_for_origin(key, m_service));
+    m_origin_source = OriginSource::kPeer;
+  }
+  if (has_log && is_open(report)) {
+    co_await m_gateway.await_logged_origins(
+        std::min(kMaxLogWait - (Now() - began_at), TimeLeft()));
+    MergeReport(report, ReportOrigin(known, key, m_service, Now()));
+    m_origin_source = OriginSource::kLog;
   }
+  report.knows_all_versions |= !has_log;
+  co_return report;
+}
+
+asio::awaitable<std::optional<LocalReply>> Exchange::FindOriginOfResumed() {
+  // As for the attempt that brought the first event.
+  m_service = ChooseService(*m_route, KeyOfStream());
+  const StreamOriginReport report = co_await CollectOriginReport();
+  if (!report.origin) {
+    m_origin_source = OriginSource::kOnlyVersion;
+  }
+  auto resolved = ResolveOrigin(report, m_service);
+  auto* origin = std::get_if<StreamOrigin>(&resolved);
+  const auto* refusal = std::get_if<ResumptionRefusal>(&resolved);
+  const bool is_of_route =
+      origin != nullptr &&
+      std::any_of(m_route->services.begin(), m_route->services.end(),
+                  [&](const WeightedService& service) {
+                    return service.service == origin->service;
+                  });
   m_gateway.log.Write(
       LogLevel::kInfo, "stream-taken-up",
       {{"request", m_metadata.id},
        {"resumes", m_metadata.resumes},
-       {"version", report.origin ? report.origin->software_version : ""},
-       {"source", report.origin ? source : "unknown"},
+       {"version", origin != nullptr ? origin->software_version : ""},
+       {"source",
+        origin != nullptr ? std::string(ToString(m_origin_source)) : "unknown"},
+       {"refused", refusal != nullptr ? std::string(ToString(*refusal))
+                   : is_of_route      ? ""
+                                      : "service-not-on-route"},
        {"recent_versions", std::to_string(report.recent_versions.size())},
        {"waited_ms", fmt::format("{:.0f}", ToMillis(Now() - m_received_at))}});
-  const auto is_origin = [&](const WeightedService& service) {
-    return service.service == report.origin->service;
-  };
-  if (!report.origin || std::none_of(m_route->services.begin(),
-                                     m_route->services.end(), is_origin)) {
+  if (!is_of_route) {
     CountEvent(m_gateway.metrics, "streams_of_unknown_version");
-    LocalReply refusal{503, "stream-version-unknown",
-                       "the version that began the stream is not known here",
-                       kDefaultRetryAfter};
-    co_return refusal;
+    CountEvent(m_gateway.metrics,
+               refusal == nullptr ? "resumptions_refused_off_route"
+               : *refusal == ResumptionRefusal::kVersionsDiffer
+                   ? "resumptions_refused_versions_differ"
+                   : "resumptions_refused_versions_unknown");
+    LocalReply reply{503, "stream-version-unknown",
+                     "the version that began the stream is not known here",
+                     kDefaultRetryAfter};
+    co_return reply;
   }
-  m_service = report.origin->service;
-  m_origin = std::move(report.origin);
+  CountEvent(m_gateway.metrics, CounterOf(m_origin_source));
+  m_service = origin->service;
+  m_origin = std::move(*origin);
   co_return std::nullopt;
 }
 
@@ -75,6 +131,9 @@
   if (m_route->resumable &&
       m_gateway.router.RecordStreamBegin(key, *m_placed_attempt, Now())) {
     m_gateway.send_origin({key, *m_origin});
+    if (m_gateway.append_origin) {
+      m_gateway.append_origin({key, *m_origin});
+    }
   }
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -20,6 +20,7 @@
 #include "gateway/client_connection.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_context.h"
+#include "gateway/origin_log.h"
 #include "gateway/peer_attempt.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/reach_monitor.h"
@@ -127,6 +128,12 @@
                  [this] {
                    ApplyQuarantines();
                    m_reach.StartChecks();
+                   if (m_origin_log) {
+                     m_origin_log->Tick(Now());
+                   }
+                 },
+                 [this](std::span<const KeyedOrigin> streams, bool by_peer) {
+                   AppendOrigins(streams, by_peer);
                  }},
                 m_self,
                 m_settings.seeds),
@@ -161,6 +168,9 @@
                                               ServiceName service) {
       return m_peers.AskForOrigin(key, std::move(service));
     };
+    if (m_shared_log) {
+      UseSharedLog();
+    }
   }
 
   ~RunningGateway() override { m_threads.Stop(); }
@@ -199,6 +209,9 @@
     Spawn(m_feed.FollowUpstreams());
     Spawn(AcceptCallers());
     Spawn(Housekeeping());
+    if (m_origin_log) {
+      Spawn(m_origin_log->ReadAfterStart());
+    }
     WaitForSignal();
     m_log.Write(LogLevel::kInfo, "started",
                 {{"caller_address", m_settings.caller_address},
@@ -251,6 +264,34 @@
   }
 
  private:
+  void UseSharedLog() {
+    m_origin_log.emplace(OriginLogContext{
+        m_context, m_router, *m_store, *m_shared_log, m_store_codec, m_log,
+        m_metrics, [this] { return m_peers.LivePeerNames(); },
+        [this] { return m_feed.ShouldRead(Now()); },
+        [this](const InstanceName& appender,
+               std::span<const KeyedOrigin> streams) {
+          m_peers.SendToAppender(appender, streams);
+        },
+        [this](std::span<const KeyedOrigin> streams) {
+          m_peers.SendOrigins(streams);
+        }});
+    m_gateway_context.append_origin = [this](const KeyedOrigin& stream) {
+      m_origin_log->Append({&stream, 1});
+    };
+    m_gateway_context.await_logged_origins = [this](Duration max_wait) {
+      return m_origin_log->AwaitRead(max_wait);
+    };
+  }
+
+  void AppendOrigins(std::span<const KeyedOrigin> streams, bool by_peer) {
+    if (m_origin_log && by_peer) {
+      m_origin_log->AppendForPeer(streams);
+    } else if (m_origin_log) {
+      m_origin_log->Append(streams);
+    }
+  }
+
   // The members that serve callers, without those that have lost their
   // upstreams: callers are served there as well, but by way of the others.
   std::vector<Member> PreferredMembers(Time now) const {
@@ -525,6 +566,7 @@
   UpstreamPool m_pool;
   StoreFeed m_feed;
   PeerExchange m_peers;
+  std::optional<OriginLog> m_origin_log;  // With a shared log.
   GatewayContext m_gateway_context;
   ReachMonitor m_reach;
   tcp::acceptor m_acceptor;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -53,6 +53,12 @@
   std::function<boost::asio::awaitable<StreamOriginReport>(StreamKey,
                                                            ServiceName)>
       ask_for_origin;
+  // Appends to the platform's log where a stream began. Empty without a log,
+  // as the next.
+  std::function<void(const KeyedOrigin&)> append_origin;
+  // Reads the origins in the log if this instance has started recently and has
+  // not read them, and waits up to the given time for that.
+  std::function<boost::asio::awaitable<void>(Duration)> await_logged_origins;
 };
 
 }  // namespace pomeloring
--- /dev/null
+++ b/src/gateway/origin_record.cc
@@ -0,0 +1,90 @@
+#include "gateway/origin_record.h"
+
+#include <map>
+
+#include "peer_digest.pb.h"
+
+namespace pomeloring {
+namespace {
+
+constexpr uint32_t kFormat = 1;
+// The platform permits no larger ones.
+constexpr size_t kMaxRecordBytes = size_t{256} * 1024;
+
+template <typename Message>
+bool Parse(std::string_view bytes, Message& message) {
+  return bytes.size() <= kMaxRecordBytes &&
+         message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) &&
+         message.format() == kFormat;
+}
+
+}  // namespace
+
+std::string EncodeOriginBatch(std::span<const KeyedOrigin> streams) {
+  wire::OriginBatch out;
+  out.set_format(kFormat);
+  std::map<std::pair<ServiceName, std::string>, wire::OriginGroup*> groups;
+  for (const auto& [key, origin] : streams) {
+    wire::OriginGroup*& group =
+        groups[{origin.service, origin.software_version}];
+    if (group == nullptr) {
+      group = out.add_groups();
+      group->set_service(origin.service.value);
+      group->set_software_version(origin.software_version);
+    }
+    group->add_streams(key);
+  }
+  return out.SerializeAsString();
+}
+
+std::string EncodeVersionRecord(const VersionRecord& record) {
+  wire::VersionRecord out;
+  out.set_format(kFormat);
+  out.set_written_at_ms(std::chrono::duration_cast<milliseconds>(
+                            record.written_at.time_since_epoch())
+                            .count());
+  for (const auto& [service, versions] : record.services) {
+    wire::ServiceVersions& entry = *out.add_services();
+    entry.set_service(service.value);
+    for (const std::string& version : versions) {
+      entry.add_versions(version);
+    }
+  }
+  return out.SerializeAsString();
+}
+
+std::optional<std::vector<KeyedOrigin>> DecodeOriginBatch(
+    std::string_view bytes) {
+  wire::OriginBatch in;
+  if (!Parse(bytes, in)) {
+    return std::nullopt;
+  }
+  std::vector<KeyedOrigin> streams;
+  for (const wire::OriginGroup& group : in.groups()) {
+    for (const StreamKey key : group.streams()) {
+      streams.push_back({key, {{group.service()}, group.software_version()}});
+    }
+  }
+  return streams;
+}
+
+std::optional<VersionRecord> DecodeVersionRecord(std::string_view bytes) {
+  wire::VersionRecord in;
+  if (!Parse(bytes, in)) {
+    return std::nullopt;
+  }
+  VersionRecord record;
+  // Times beyond those that Time can hold are malformed.
+  constexpr int64_t kMaxMs = int64_t{1} << 50;
+  if (in.written_at_ms() < 0 || in.written_at_ms() > kMaxMs) {
+    return std::nullopt;
+  }
+  record.written_at = Time{milliseconds{in.written_at_ms()}};
+  for (const wire::ServiceVersions& entry : in.services()) {
+    record.services[{entry.service()}].insert(entry.versions().begin(),
+                                              entry.versions().end());
+  }
+  return record;
+}
+
+}  // namespace pomeloring
--- /dev/null
+++ b/src/gateway/origin_record.h
@@ -0,0 +1,34 @@
+// Defines the records of the gateway's own topics in the platform's log that
+// tell where streams began and which versions served.
+
+#ifndef POMELORING_GATEWAY_ORIGIN_RECORD_H_
+#define POMELORING_GATEWAY_ORIGIN_RECORD_H_
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "routing/stream_origins.h"
+
+namespace pomeloring {
+
+// The versions of services that had served lately at `written_at`.
+struct VersionRecord {
+  Time written_at;
+  VersionSets services;
+};
+
+std::string EncodeOriginBatch(std::span<const KeyedOrigin> streams);
+std::string EncodeVersionRecord(const VersionRecord& record);
+
+// Return nothing for records that are malformed, too large or of a later
+// format.
+std::optional<std::vector<KeyedOrigin>> DecodeOriginBatch(
+    std::string_view bytes);
+std::optional<VersionRecord> DecodeVersionRecord(std::string_view bytes);
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_GATEWAY_ORIGIN_RECORD_H_
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -284,6 +284,7 @@
   for (const std::string& version : report.recent_versions) {
     out.add_recent_versions(version);
   }
+  out.set_knows_all_versions(report.knows_all_versions);
   return out.SerializeAsString();
 }
 
@@ -299,6 +300,7 @@
   }
   report.recent_versions.insert(in.recent_versions().begin(),
                                 in.recent_versions().end());
+  report.knows_all_versions = in.knows_all_versions();
   return report;
 }
 
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -29,6 +29,7 @@
 constexpr char kMembershipTag = 'M';
 constexpr char kDigestTag = 'D';
 constexpr char kOriginsTag = 'S';
+constexpr char kOriginsToAppendTag = 'A';
 constexpr size_t kMaxDatagramBytes = size_t{64} * 1024;
 // A longer interval adds to the age of the loads that peers see; each wake-up
 // costs CPU time.
@@ -320,6 +321,9 @@
     if (const auto streams = m_context.router.TakeOriginsToSend();
         !streams.empty()) {
       SendOrigins(streams);
+      if (m_context.append_origins) {
+        m_context.append_origins(streams, false);
+      }
     }
     SendDigests(now);
     error_code ignored;
@@ -345,9 +349,12 @@
         std::string_view(buffer).substr(1, size - 1);
     if (buffer[0] == kDigestTag) {
       HandleDigestBytes(payload);
-    } else if (buffer[0] == kOriginsTag) {
+    } else if (buffer[0] == kOriginsTag || buffer[0] == kOriginsToAppendTag) {
       if (const auto streams = DecodeOrigins(payload)) {
         m_context.router.ApplyOrigins(*streams, Now());
+        if (buffer[0] == kOriginsToAppendTag && m_context.append_origins) {
+          m_context.append_origins(*streams, true);
+        }
       }
     } else if (const auto message = DecodeDatagram(payload);
                buffer[0] == kMembershipTag && message) {
@@ -384,13 +391,25 @@
     }
   }
   for (const auto& [holder, held] : by_holder) {
-    const Member* member = FindMember(holder);
-    for (size_t at = 0; at < held.size(); at += kMaxOriginsPerDatagram) {
-      const auto piece = std::span(held).subspan(
-          at, std::min(kMaxOriginsPerDatagram, held.size() - at));
-      SendTo(member->probe_address,
-             fmt::format("{}{}", kOriginsTag, EncodeOrigins(piece)));
-    }
+    SendOriginsTo(holder, kOriginsTag, held);
+  }
+}
+
+void PeerExchange::SendToAppender(const InstanceName& appender,
+                                  std::span<const KeyedOrigin> streams) {
+  SendOriginsTo(appender, kOriginsToAppendTag, streams);
+}
+
+void PeerExchange::SendOriginsTo(const InstanceName& receiver,
+                                 char tag,
+                                 std::span<const KeyedOrigin> streams) {
+  const Member* member = FindMember(receiver);
+  for (size_t at = 0; member != nullptr && at < streams.size();
+       at += kMaxOriginsPerDatagram) {
+    const auto piece = streams.subspan(
+        at, std::min(kMaxOriginsPerDatagram, streams.size() - at));
+    SendTo(member->probe_address,
+           fmt::format("{}{}", tag, EncodeOrigins(piece)));
   }
 }
 
@@ -447,9 +466,9 @@
 }
 
 StreamOriginReport PeerExchange::ReportOrigin(std::string_view target) const {
-  return pomeloring::ReportOrigin(m_context.router.Origins(),
-                                  QueryNumber(target, kStreamParameter),
-                                  {QueryText(target, kServiceParameter)});
+  return pomeloring::ReportOrigin(
+      m_context.router.Origins(), QueryNumber(target, kStreamParameter),
+      {QueryText(target, kServiceParameter)}, Now());
 }
 
 void PeerExchange::HandleDigestBytes(std::string_view bytes) {
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -30,6 +30,10 @@
   GatewayMetrics& metrics;
   // Called many times a second; may be empty.
   std::function<void()> on_tick;
+  // Appends origins to the platform's log: `by_peer` of peers that have chosen
+  // this instance to do so. May be empty.
+  std::function<void(std::span<const KeyedOrigin>, bool by_peer)>
+      append_origins;
 };
 
 // Used from one thread.
@@ -49,9 +53,14 @@
   void RequestDigest() { m_digest_requested = true; }
   // Tells the holders of the streams where they began.
   void SendOrigins(std::span<const KeyedOrigin> streams);
+  // Sends origins to an instance that appends them to the platform's log.
+  void SendToAppender(const InstanceName& appender,
+                      std::span<const KeyedOrigin> streams);
   // Asks the holders of a stream of `service`. The report merges their replies.
   boost::asio::awaitable<StreamOriginReport> AskForOrigin(StreamKey key,
                                                           ServiceName service);
+  // The other instances that are alive and not leaving.
+  std::vector<InstanceName> LivePeerNames() const;
   void AdvertiseLeaving();
   bool IsLeaving() const { return m_leaving; }
   void SetSeeds(std::vector<std::string> seeds);
@@ -85,7 +94,9 @@
                        const HttpResult& result,
                        Duration elapsed);
   const Member* FindMember(const InstanceName& name) const;
-  std::vector<InstanceName> LivePeerNames() const;
+  void SendOriginsTo(const InstanceName& receiver,
+                     char tag,
+                     std::span<const KeyedOrigin> streams);
   struct OriginInquiry;
   boost::asio::awaitable<void> AskHolder(
       std::string address,
--- a/src/gateway/store.h
+++ b/src/gateway/store.h
@@ -35,7 +35,10 @@
 };
 
 // The requested entries have expired; call List() instead.
-struct HistoryExpired {};
+struct HistoryExpired {
+  // The first entry that can still be read, if the store names it.
+  std::optional<LogOffset> first_retained;
+};
 // The store rejected the call, or could not be reached (status 0).
 struct StoreRefused {
   unsigned status = 0;
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -456,6 +456,34 @@
   }
 }
 
+void Router::ApplyLoggedOrigins(std::span<const KeyedOrigin> streams,
+                                Time now) {
+  for (const KeyedOrigin& stream : streams) {
+    RecordLoggedOrigin(m_origins, stream, now);
+  }
+}
+
+void Router::ApplyVersions(const ServiceName& service,
+                           const std::set<std::string>& versions,
+                           bool is_complete,
+                           Time now) {
+  const bool was_mixed = RecentVersions(m_origins, service).size() > 1;
+  AddVersions(m_origins, service, versions, is_complete, now);
+  if (!was_mixed && RecentVersions(m_origins, service).size() > 1) {
+    const auto streams = StreamsOf(m_origins, {service}, true);
+    m_origins_to_send.insert(m_origins_to_send.end(), streams.begin(),
+                             streams.end());
+  }
+}
+
+VersionSets Router::RegisteredVersions() const {
+  VersionSets registered;
+  for (const auto& [name, state] : m_states) {
+    registered[state->record.service].insert(state->record.software_version);
+  }
+  return registered;
+}
+
 std::vector<KeyedOrigin> Router::TakeOriginsToSend() {
   return std::exchange(m_origins_to_send, {});
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -206,6 +206,14 @@
   bool RecordStreamBegin(StreamKey key, const PlacedAttempt& attempt, Time now);
   void RecordStreamEnd(StreamKey key) { ForgetStream(m_origins, key); }
   void ApplyOrigins(std::span<const KeyedOrigin> streams, Time now);
+  // Applies what was read in the platform's log after a start.
+  void ApplyLoggedOrigins(std::span<const KeyedOrigin> streams, Time now);
+  void ApplyVersions(const ServiceName& service,
+                     const std::set<std::string>& versions,
+                     bool is_complete,
+                     Time now);
+  // The versions of the upstreams that are registered now.
+  VersionSets RegisteredVersions() const;
   const StreamOrigins& Origins() const { return m_origins; }
   // Returns the streams that peers have to be told of since the last call:
   // those that began here before another version of their service came.
--- a/src/routing/stream_origins.cc
+++ b/src/routing/stream_origins.cc
@@ -9,6 +9,9 @@
 constexpr Duration kStreamRetention = seconds(60);
 // Limits memory to some 10 MB.
 constexpr size_t kMaxStreams = 65'536;
+// An instance that has observed nothing for longer was suspended, and versions
+// may have come and gone meanwhile.
+constexpr Duration kMaxTrackingGap = seconds(5);
 
 }  // namespace
 
@@ -44,6 +47,20 @@
                                         : std::optional(found->second.origin);
 }
 
+void RecordLoggedOrigin(StreamOrigins& origins,
+                        const KeyedOrigin& stream,
+                        Time now) {
+  if (!origins.streams.contains(stream.first)) {
+    RecordOrigin(origins, stream, false, now);
+    origins.streams.at(stream.first).is_from_log = true;
+  }
+}
+
+bool IsFromLog(const StreamOrigins& origins, StreamKey key) {
+  const auto found = origins.streams.find(key);
+  return found != origins.streams.end() && found->second.is_from_log;
+}
+
 void ForgetStream(StreamOrigins& origins, StreamKey key) {
   origins.streams.erase(key);
 }
@@ -51,9 +68,12 @@
 std::set<ServiceName> RecordVersions(StreamOrigins& origins,
                                      std::span<const StreamOrigin> registered,
                                      Time now) {
-  if (!origins.tracking_since) {
+  if (!origins.tracking_since ||
+      now - origins.last_tracked_at > kMaxTrackingGap) {
     origins.tracking_since = now;
+    origins.completed_from_store.clear();
   }
+  origins.last_tracked_at = now;
   std::set<ServiceName> mixed;
   for (const StreamOrigin& upstream : registered) {
     auto& versions = origins.versions[upstream.service];
@@ -78,9 +98,25 @@
   return recent;
 }
 
-bool KnowsAllRecentVersions(const StreamOrigins& origins, Time now) {
+bool KnowsAllRecentVersions(const StreamOrigins& origins,
+                            const ServiceName& service,
+                            Time now) {
   return origins.tracking_since &&
-         now - *origins.tracking_since >= kStreamRetention;
+         (now - *origins.tracking_since >= kStreamRetention ||
+          origins.completed_from_store.contains(service));
+}
+
+void AddVersions(StreamOrigins& origins,
+                 const ServiceName& service,
+                 const std::set<std::string>& versions,
+                 bool is_complete,
+                 Time now) {
+  for (const std::string& version : versions) {
+    origins.versions[service].insert_or_assign(version, now);
+  }
+  if (is_complete) {
+    origins.completed_from_store.insert(service);
+  }
 }
 
 std::vector<KeyedOrigin> StreamsOf(const StreamOrigins& origins,
--- a/src/routing/stream_origins.h
+++ b/src/routing/stream_origins.h
@@ -31,12 +31,14 @@
 };
 
 using KeyedOrigin = std::pair<StreamKey, StreamOrigin>;
+using VersionSets = std::map<ServiceName, std::set<std::string>>;
 
 struct StreamOrigins {
   struct Stream {
     StreamOrigin origin;
     Time recorded_at;
     bool began_here = false;
+    bool is_from_log = false;
   };
   // Limited in number and age; see the source.
   std::unordered_map<StreamKey, Stream> streams;
@@ -45,6 +47,9 @@
   std::map<ServiceName, std::map<std::string, Time>> versions;
   // Since when `versions` is kept.
   std::optional<Time> tracking_since;
+  Time last_tracked_at;
+  // Services whose `versions` before that are known from the store.
+  std::set<ServiceName> completed_from_store;
 };
 
 // Records where a stream began, as observed here or told by a peer.
@@ -54,6 +59,11 @@
                   Time now);
 std::optional<StreamOrigin> FindOrigin(const StreamOrigins& origins,
                                        StreamKey key);
+// Records what was read in the platform's log, unless it is known already.
+void RecordLoggedOrigin(StreamOrigins& origins,
+                        const KeyedOrigin& stream,
+                        Time now);
+bool IsFromLog(const StreamOrigins& origins, StreamKey key);
 // Forgets a stream that is complete.
 void ForgetStream(StreamOrigins& origins, StreamKey key);
 
@@ -68,7 +78,16 @@
                                      const ServiceName& service);
 
 // Whether RecentVersions() is known from before any such stream began.
-bool KnowsAllRecentVersions(const StreamOrigins& origins, Time now);
+bool KnowsAllRecentVersions(const StreamOrigins& origins,
+                            const ServiceName& service,
+                            Time now);
+// Adds versions that have served lately, according to the store. `is_complete`:
+// no others have, up to when this instance began to observe them itself.
+void AddVersions(StreamOrigins& origins,
+                 const ServiceName& service,
+                 const std::set<std::string>& versions,
+                 bool is_complete,
+                 Time now);
 
 // Returns the streams that began here, or all, at one of `services`.
 std::vector<KeyedOrigin> StreamsOf(const StreamOrigins& origins,
--- a/src/routing/stream_resumption.h
+++ b/src/routing/stream_resumption.h
@@ -18,15 +18,22 @@
 struct StreamOriginReport {
   std::optional<StreamOrigin> origin;
   std::set<std::string> recent_versions;  // Of the service asked for.
+  // No stream in progress began at any other.
+  bool knows_all_versions = false;
 };
 
 // What one instance knows of a stream of `service`.
 StreamOriginReport ReportOrigin(const StreamOrigins& origins,
                                 StreamKey key,
-                                const ServiceName& service);
+                                const ServiceName& service,
+                                Time now);
 // Adds what another instance knows.
 void MergeReport(StreamOriginReport& report, StreamOriginReport other);
 
+// What told the version at which a stream goes on.
+enum class OriginSource { kMemory, kPeer, kLog, kOnlyVersion };
+std::string_view ToString(OriginSource source);
+
 enum class ResumptionRefusal { kVersionsDiffer, kVersionsUnknown };
 std::string_view ToString(ResumptionRefusal refusal);
 
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -48,8 +48,9 @@
 
 // Positions rise across restores of the store from an older copy: the lower 40
 // bits are the offset, the others tell how often it was restored.
+inline constexpr int kPositionOffsetBits = 40;
 inline uint64_t RestoresBefore(LogOffset position) {
-  return position.value >> 40;
+  return position.value >> kPositionOffsetBits;
 }
 
 struct UpstreamEntry {
--- a/test/support/resuming_fleet.h
+++ b/test/support/resuming_fleet.h
@@ -1,5 +1,6 @@
 // Defines ResumingFleet: instances in virtual time that know where streams
-// began, and callers that resume streams after instances were killed.
+// began, a model of the platform's log, and callers that resume streams after
+// instances were killed.
 
 #ifndef POMELORING_TEST_SUPPORT_RESUMING_FLEET_H_
 #define POMELORING_TEST_SUPPORT_RESUMING_FLEET_H_
@@ -9,11 +10,19 @@
 #include <string>
 #include <vector>
 
+#include "routing/origin_batch.h"
 #include "routing/stream_resumption.h"
+#include "routing/upstream_table.h"
 
 namespace pomeloring {
 
 inline constexpr Duration kFleetStep = milliseconds(50);
+// Streams end after this time, and records in the log expire after that one.
+inline constexpr Duration kStreamLifetime = seconds(8);
+inline constexpr Duration kLogRetention = seconds(20);
+
+// Of the next append to the log.
+enum class AppendFate { kDone, kLost, kLate };
 
 struct ResumptionCounts {
   int continued = 0;
@@ -26,6 +35,7 @@
  public:
   explicit ResumingFleet(size_t instances);
 
+  // Ignored while the log is unavailable: upstreams cannot register.
   void SetVersions(std::set<std::string> serving);
   // Begins a stream at an instance and at one of the versions that serve.
   void BeginStream(uint64_t random);
@@ -36,7 +46,12 @@
   void Resume(size_t stream, size_t instance);
   // Lets kFleetStep pass.
   void Step();
+  void SetLogAvailable(bool available) { m_log_available = available; }
+  void SetNextAppend(AppendFate fate) { m_next_append = fate; }
+  // Restores the log from a copy that lacks the last `lost` of its time.
+  void RestoreLog(Duration lost);
 
+  size_t AppendCount() const { return m_append_count; }
   size_t RunningStreams() const { return m_streams.size(); }
   const ResumptionCounts& Counts() const { return m_counts; }
   Time Now() const { return m_now; }
@@ -45,19 +60,41 @@
   struct Stream {
     StreamKey key = 0;
     std::string version;
+    Time began;
   };
   struct Instance {
     InstanceName name;
     StreamOrigins origins;
+    OriginQueue queue;
+    bool has_table = false;
+    bool has_read_log = false;
+  };
+  template <typename Record>
+  struct Topic {
+    std::vector<std::pair<Time, Record>> records;
+    size_t removed = 0;  // Expired.
   };
 
-  std::vector<InstanceName> Names() const;
   void Observe(Instance& instance);
+  void Tell(Instance& instance, std::span<const KeyedOrigin> streams);
+  void AppendIfDue(Instance& instance);
+  void RenewRegistrations(bool all);
+  void ReadLog(Instance& instance);
+  bool ReadsAtStart(const Instance& instance) const;
 
   Time m_now{seconds(1000)};
   std::vector<Instance> m_instances;
   std::map<InstanceName, size_t> m_index;
   std::set<std::string> m_serving;
+  Topic<UpstreamChange> m_registrations;
+  Topic<std::vector<KeyedOrigin>> m_batches;
+  std::vector<std::pair<Time, std::vector<KeyedOrigin>>> m_late_batches;
+  bool m_log_available = true;
+  AppendFate m_next_append = AppendFate::kDone;
+  uint64_t m_era = 0;
+  size_t m_append_count = 0;
+  std::vector<InstanceName> m_names;
+  std::vector<InstanceName> m_appenders;
   std::vector<Stream> m_streams;
   uint64_t m_begun = 0;
   ResumptionCounts m_counts;
