--- /dev/null
+++ b/test/gateway/streams_outlive_all_instances_test.cc
@@ -0,0 +1,118 @@
+// After all instances were killed, a new one must know from the platform's log
+// where a stream began, and must not guess what the log does not tell.
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <list>
+#include <thread>
+
+#include "gateway/origin_record.h"
+#include "support/gateway_site.h"
+#include "support/loopback_engine.h"
+#include "support/scripted_server.h"
+
+namespace pomeloring::test {
+namespace {
+
+constexpr char kTakesUp[] = "Resumes: r1\r\nLast-Event-Id: 1\r\n";
+constexpr std::chrono::milliseconds kAppendTime{600};
+
+// Engines whose streams break off after one event until they are resumed.
+struct Engines {
+  explicit Engines(const std::vector<std::string>& versions) {
+    for (const std::string& version : versions) {
+      engines.emplace_back([this, version](const std::string& head) {
+        const std::lock_guard lock(mutex);
+        arrivals.insert(version);
+        const bool is_resumed = head.find("Resumes: r1") != std::string::npos;
+        return EngineReply{.bytes = StreamHead() +
+                                    StreamEvent(is_resumed ? 2 : 1) +
+                                    (is_resumed ? kStreamEnd : "")};
+      });
+      upstreams.push_back({fmt::format("e{}", upstreams.size()), "engines",
+                           engines.back().Address(), version});
+    }
+  }
+
+  std::mutex mutex;
+  std::set<std::string> arrivals;
+  std::vector<SiteUpstream> upstreams;
+  std::list<LoopbackEngine> engines;
+};
+
+TEST_CASE("A stream goes on at its version when all instances are new") {
+  for (int round = 0; round < 4; ++round) {
+    Engines engines({"v1", "v1", "v2", "v2"});
+    const auto log = std::make_shared<MemoryLog>();
+    // The log is unavailable at first: the append is repeated.
+    log->is_available = round % 2 == 0;
+    SiteOptions options;
+    options.log = log;
+    {
+      const GatewaySite first(engines.upstreams, {}, options);
+      first.PostRequest("/draft/1");
+      std::this_thread::sleep_for(kAppendTime);
+      {
+        const std::lock_guard lock(log->mutex);
+        log->is_available = true;
+      }
+      std::this_thread::sleep_for(kAppendTime);
+    }
+    // What cannot be read is ignored.
+    log->topics["pomeloring.stream-origins"].push_back("\x08\x02");
+    log->topics["pomeloring.stream-origins"].push_back("\xff\xff");
+    const GatewaySite second(engines.upstreams, {}, options);
+    CHECK(second.PostRequest("/draft/1", kTakesUp).ends_with(kStreamEnd));
+    CHECK(engines.arrivals.size() == 1);
+  }
+}
+
+TEST_CASE("Nothing is appended while one version serves") {
+  Engines engines({"v1", "v1"});
+  SiteOptions options;
+  options.log = std::make_shared<MemoryLog>();
+  const GatewaySite site(engines.upstreams, {}, options);
+  site.PostRequest("/draft/1");
+  std::this_thread::sleep_for(kAppendTime);
+  const std::lock_guard lock(options.log->mutex);
+  for (const auto& [topic, records] : options.log->topics) {
+    CHECK(records.empty());
+  }
+}
+
+struct Case {
+  const char* name;
+  std::string departed_version;  // Empty: the history has no other version.
+  bool is_in_version_record = false;
+  bool continues = false;
+};
+
+TEST_CASE("An unknown stream goes on only if no other version served lately") {
+  for (const Case& each :
+       {Case{"one version in the history", "", false, true},
+        Case{"another one has left", "v1", false, false},
+        Case{"another one is in a record of versions", "", true, false}}) {
+    INFO(std::string(each.name));
+    Engines engines({"v2", "v2"});
+    SiteOptions options;
+    options.log = std::make_shared<MemoryLog>();
+    if (!each.departed_version.empty()) {
+      options.departed = {
+          {"e9", "engines", "127.0.0.1:9", each.departed_version}};
+    }
+    if (each.is_in_version_record) {
+      const auto now = std::chrono::duration_cast<Duration>(
+          std::chrono::system_clock::now().time_since_epoch());
+      options.log->topics["pomeloring.service-versions"].push_back(
+          EncodeVersionRecord({Time{now}, {{{"engines"}, {"v1", "v2"}}}}));
+    }
+    const GatewaySite site(engines.upstreams, {}, options);
+    const std::string reply = site.PostRequest("/draft/1", kTakesUp);
+    CHECK(reply.starts_with(each.continues ? "HTTP/1.1 200" : "HTTP/1.1 503"));
+    CHECK(engines.arrivals.empty() != each.continues);
+  }
+}
+
+}  // namespace
+}  // namespace pomeloring::test
--- a/test/support/gateway_site.cc
+++ b/test/support/gateway_site.cc
@@ -56,21 +56,67 @@
                       {"name", "one"}, {"api_keys", json::array{"key-1"}}}}}});
 }
 
+StoreEntry EntryOf(const SiteUpstream& upstream) {
+  return {upstream.id,
+          {1},
+          json::serialize(json::object{{"service", upstream.service},
+                                       {"address", upstream.address},
+                                       {"zone", "here"},
+                                       {"version", upstream.software_version},
+                                       {"slots", 8},
+                                       {"state", "ready"}})};
+}
+
+class SiteLog final : public SharedLog {
+ public:
+  explicit SiteLog(std::shared_ptr<MemoryLog> log) : m_log(std::move(log)) {}
+
+  asio::awaitable<SharedAppendResult> Append(
+      std::string topic,
+      std::string record,
+      std::optional<LogOffset> /*expected_end*/) override {
+    const std::lock_guard lock(m_log->mutex);
+    if (!m_log->is_available) {
+      co_return LogCallRefused{503};
+    }
+    auto& records = m_log->topics[topic];
+    records.push_back(std::move(record));
+    co_return LogAppended{{records.size() - 1}};
+  }
+
+  asio::awaitable<SharedReadResult> Read(std::string topic,
+                                         LogOffset from,
+                                         std::chrono::milliseconds) override {
+    const std::lock_guard lock(m_log->mutex);
+    if (!m_log->is_available) {
+      co_return LogCallRefused{503};
+    }
+    const auto& records = m_log->topics[topic];
+    SharedLogPage page;
+    page.end = {records.size()};
+    for (uint64_t at = from.value; at < records.size(); ++at) {
+      page.records.push_back({{at}, records[at]});
+    }
+    co_return page;
+  }
+
+ private:
+  const std::shared_ptr<MemoryLog> m_log;
+};
+
+// The history of the registrations has one record of each upstream.
 class FixedStore final : public Store {
  public:
   FixedStore(const std::vector<SiteUpstream>& upstreams,
+             const std::vector<SiteUpstream>& departed,
              std::chrono::milliseconds delay)
       : m_delay(delay) {
+    for (const SiteUpstream& upstream : departed) {
+      m_history.push_back(EntryOf(upstream));
+    }
     for (const SiteUpstream& upstream : upstreams) {
-      m_upstreams.entries.push_back(
-          {upstream.id,
-           {1},
-           json::serialize(json::object{{"service", upstream.service},
-                                        {"address", upstream.address},
-                                        {"zone", "here"},
-                                        {"version", upstream.software_version},
-                                        {"slots", 8},
-                                        {"state", "ready"}})});
+      m_upstreams.entries.push_back(EntryOf(upstream));
+      m_history.push_back(EntryOf(upstream));
     }
     m_upstreams.end.value = 2;
     m_config.entries.push_back({"config", {1}, ConfigText()});
@@ -82,11 +128,17 @@
     co_return topic == StoreTopic::kConfiguration ? m_config : m_upstreams;
   }
 
-  asio::awaitable<StorePageResult>
-  Read(StoreTopic, LogOffset from, std::chrono::milliseconds wait) override {
+  asio::awaitable<StorePageResult> Read(
+      StoreTopic topic,
+      LogOffset from,
+      std::chrono::milliseconds wait) override {
     co_await SleepFor(wait);
     StorePage page;
     page.end = from;
+    if (topic == StoreTopic::kUpstreams && from < m_upstreams.end) {
+      page.entries = m_history;
+      page.end = m_upstreams.end;
+    }
     co_return page;
   }
 
@@ -94,6 +146,7 @@
   const std::chrono::milliseconds m_delay;
   StoreList m_config;
   StoreList m_upstreams;
+  std::vector<StoreEntry> m_history;
 };
 
 GatewaySettings SettingsFor(const std::string& caller_address,
@@ -137,7 +190,10 @@
             .WithSettings(SettingsFor(m_address, options), "")
             .WithWireCodec(MakeCodec(options))
             .WithStoreCodec(platform::MakeStoreCodec())
-            .WithStore(std::make_unique<FixedStore>(upstreams, store_delay))
+            .WithStore(std::make_unique<FixedStore>(upstreams, options.departed,
+                                                    store_delay))
+            .WithSharedLog(options.log ? std::make_unique<SiteLog>(options.log)
+                                       : nullptr)
             .WithHandlers(platform::MakeHandlers())
             .Build();
     if (auto* gateway = std::get_if<std::unique_ptr<Gateway>>(&built)) {
--- a/test/support/gateway_site.h
+++ b/test/support/gateway_site.h
@@ -5,7 +5,9 @@
 #define POMELORING_TEST_SUPPORT_GATEWAY_SITE_H_
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -25,6 +27,13 @@
   std::string software_version = "v1";
 };
 
+// The contents of a shared log, which outlive the sites that use it.
+struct MemoryLog {
+  std::mutex mutex;
+  bool is_available = true;
+  std::map<std::string, std::vector<std::string>> topics;
+};
+
 // Sites whose seeds name each other's peer address serve together.
 struct SiteOptions {
   std::string name = "gateway-1";
@@ -32,6 +41,9 @@
   std::vector<std::string> seeds;
   // Called by the gateway's only thread when it has read a request.
   std::function<void()> on_request = [] {};
+  std::shared_ptr<MemoryLog> log;  // Null: the gateway has no shared log.
+  // Upstreams in the history of the registrations that have left.
+  std::vector<SiteUpstream> departed;
 };
 
 class GatewaySite {
