--- a/test/fuzz/resumed_streams_are_not_joined_test.cc
+++ b/test/fuzz/resumed_streams_are_not_joined_test.cc
@@ -22,7 +22,10 @@
 
   void Run(uint64_t bits) {
     const uint64_t a = bits >> 8;
-    switch (bits % 12) {
+    switch (bits % 13) {
+      case 12:
+        KillDuringRelease(a);
+        break;
       case 0:
         m_fleet.SetVersions(kReleases[a % std::size(kReleases)]);
         break;
@@ -30,6 +33,7 @@
         m_fleet.Kill(a % m_instances);
         break;
       case 2:
+        Begin(a);  // Too late to be appended.
         m_fleet.KillAll();
         break;
       case 3:
@@ -41,7 +45,7 @@
         m_fleet.SetLogAvailable(false);
         break;
       case 5:
-        if (a % 8 == 0) {
+        if (a % 32 == 0) {
           m_fleet.RestoreLog(seconds(1 + a % 5));
         }
         break;
@@ -53,9 +57,7 @@
         Pass(kFleetStep * static_cast<int64_t>(a % 16));
         break;
       case 9:
-        for (int i = 0; i < 5; ++i) {
-          m_fleet.BeginStream(a + static_cast<uint64_t>(i) * 31);
-        }
+        Begin(a);
         break;
       default:
         if (m_fleet.RunningStreams() > 0) {
@@ -68,6 +70,33 @@
   const ResumptionCounts& Counts() const { return m_fleet.Counts(); }
 
  private:
+  // Streams that are in no log, a release, possibly a restore, and a kill: what
+  // random steps seldom bring close together.
+  void KillDuringRelease(uint64_t random) {
+    const auto choose = [&random](uint64_t count) {
+      return NextRandom(random) % count;
+    };
+    m_fleet.SetVersions(kReleases[choose(std::size(kReleases))]);
+    Begin(choose(1000));
+    m_fleet.KillAll();
+    m_fleet.SetVersions(kReleases[choose(std::size(kReleases))]);
+    if (choose(8) == 0) {
+      m_fleet.RestoreLog(seconds(1 + choose(5)));
+    }
+    Pass(milliseconds(choose(2) == 0 ? choose(500) : choose(9000)));
+    m_fleet.KillAll();
+    Pass(kFleetStep);
+    for (size_t i = 0; i < m_fleet.RunningStreams(); ++i) {
+      m_fleet.Resume(i, choose(m_instances));
+    }
+  }
+
+  void Begin(uint64_t random) {
+    for (uint64_t i = 0; i < 5; ++i) {
+      m_fleet.BeginStream(random + i * 31);
+    }
+  }
+
   void Pass(Duration time) {
     for (const Time end = m_fleet.Now() + time; m_fleet.Now() < end;) {
       m_fleet.Step();
@@ -86,7 +115,7 @@
   ResumptionCounts total;
   CHECK(rc::check("none is joined", [&](uint64_t random) {
     Day day(random % 2 == 0 ? 3 : 20);
-    for (int i = 0; i < 300; ++i) {
+    for (int i = 0; i < 200; ++i) {
       day.Run(NextRandom(random) >> 8);
     }
     total.continued += day.Counts().continued;
