Bound the memory of a read of the platform's log

Cause: 4,096 records of up to 256 KiB each could be kept at once. Change: the newest MB is kept, which is more streams than are retained.

--- a/src/gateway/origin_log.cc
+++ b/src/gateway/origin_log.cc
@@ -38,6 +38,9 @@
 constexpr Duration kMaxClockJump = seconds(10);
 // Of one read; a page has several hundred KB.
 constexpr int kMaxPages = 256;
+// Of the newest records that are kept of one read: more streams than are
+// retained. Records may be as large as the platform permits.
+constexpr size_t kMaxTailBytes = size_t{1024} * 1024;
 // Sent to holders at once; each datagram has a hundred.
 constexpr size_t kStreamsPerBurst = 1000;
 constexpr milliseconds kBurstInterval{20};
@@ -313,6 +316,8 @@
   if (!records) {
     co_return false;
   }
+  const bool reads_for_all = m_context.live_peers().size() + 1 > kSmallFleet &&
+                             m_context.should_read_store();
   std::vector<KeyedOrigin> streams;
   for (const SharedLogRecord& record : *records) {
     const auto batch = DecodeOriginBatch(record.bytes);
@@ -321,20 +326,23 @@
       continue;
     }
     m_context.router.ApplyLoggedOrigins(*batch, Now());
-    streams.insert(streams.end(), batch->begin(), batch->end());
+    if (reads_for_all) {
+      streams.insert(streams.end(), batch->begin(), batch->end());
+    }
   }
-  if (m_context.live_peers().size() + 1 > kSmallFleet &&
-      m_context.should_read_store()) {
+  if (reads_for_all) {
     asio::co_spawn(m_context.context, SendToHolders(std::move(streams)),
                    asio::detached);
   }
   co_return true;
 }
 
-asio::awaitable<std::optional<std::vector<SharedLogRecord>>>
-OriginLog::ReadTail(std::string topic, uint64_t max_records) {
+asio::awaitable<std::optional<std::deque<SharedLogRecord>>> OriginLog::ReadTail(
+    std::string topic,
+    uint64_t max_records) {
   LogOffset next{0};
-  std::vector<SharedLogRecord> records;
+  std::deque<SharedLogRecord> records;
+  size_t bytes = 0;
   bool at_tail = false;
   for (int pages = 0; pages < kMaxPages; ++pages) {
     auto result =
@@ -342,6 +350,7 @@
     if (const auto* expired = std::get_if<SharedLogExpired>(&result);
         expired != nullptr && expired->first_retained > next) {
       records.clear();
+      bytes = 0;
       next = expired->first_retained;
       continue;
     }
@@ -359,8 +368,14 @@
       continue;
     }
     next = {page->records.back().position.value + 1};
-    std::move(page->records.begin(), page->records.end(),
-              std::back_inserter(records));
+    for (SharedLogRecord& record : page->records) {
+      bytes += record.bytes.size();
+      records.push_back(std::move(record));
+    }
+    while (bytes > kMaxTailBytes) {
+      bytes -= records.front().bytes.size();
+      records.pop_front();
+    }
     if (next >= page->end) {
       co_return records;
     }
--- a/src/gateway/origin_log.h
+++ b/src/gateway/origin_log.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -72,9 +73,8 @@
   boost::asio::awaitable<bool> ReadHistory();
   boost::asio::awaitable<bool> ReadVersions();
   boost::asio::awaitable<bool> ReadOrigins();
-  // Returns the newest records of a topic, at least `max_records` unless fewer
-  // are retained.
-  boost::asio::awaitable<std::optional<std::vector<SharedLogRecord>>> ReadTail(
+  // Returns the newest records of a topic, about `max_records` at most.
+  boost::asio::awaitable<std::optional<std::deque<SharedLogRecord>>> ReadTail(
       std::string topic,
       uint64_t max_records);
   boost::asio::awaitable<void> SendToHolders(std::vector<KeyedOrigin> streams);
