--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -56,6 +56,12 @@
   // Counts a request of an account that began to run `ago`. Null without the
   // duty "usage".
   std::function<void(const AccountName&, Duration ago)> count_usage;
+  // Appends to the platform's log where a stream began. Empty without a log,
+  // as the next.
+  std::function<void(const KeyedOrigin&)> append_origin;
+  // Reads the origins in the log if this instance has started recently and has
+  // not read them, and waits up to the given time for that.
+  std::function<boost::asio::awaitable<void>(Duration)> await_logged_origins;
 };
 
 }  // namespace pomeloring
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -30,6 +30,7 @@
 constexpr char kDigestTag = 'D';
 constexpr char kOriginsTag = 'S';
 constexpr char kUsageTag = 'U';
+constexpr char kOriginsToAppendTag = 'A';
 constexpr size_t kMaxDatagramBytes = size_t{64} * 1024;
 // A longer interval adds to the age of the loads that peers see; each wake-up
 // costs CPU time.
@@ -321,6 +322,9 @@
     if (const auto streams = m_context.router.TakeOriginsToSend();
         !streams.empty()) {
       SendOrigins(streams);
+      if (m_context.append_origins) {
+        m_context.append_origins(streams, false);
+      }
     }
     SendDigests(now);
     error_code ignored;
@@ -346,9 +350,12 @@
         std::string_view(buffer).substr(1, size - 1);
     if (buffer[0] == kDigestTag) {
       HandleDigestBytes(payload);
-    } else if (buffer[0] == kOriginsTag) {
+    } else if (buffer[0] == kOriginsTag || buffer[0] == kOriginsToAppendTag) {
       if (const auto streams = DecodeOrigins(payload)) {
         m_context.router.ApplyOrigins(*streams, Now());
+        if (buffer[0] == kOriginsToAppendTag && m_context.append_origins) {
+          m_context.append_origins(*streams, true);
+        }
       }
     } else if (buffer[0] == kUsageTag) {
       if (m_context.on_usage) {
@@ -389,13 +396,25 @@
     }
   }
   for (const auto& [holder, held] : by_holder) {
-    const Member* member = FindMember(holder);
-    for (size_t at = 0; at < held.size(); at += kMaxOriginsPerDatagram) {
-      const auto piece = std::span(held).subspan(
-          at, std::min(kMaxOriginsPerDatagram, held.size() - at));
-      SendTo(member->probe_address,
-             fmt::format("{}{}", kOriginsTag, EncodeOrigins(piece)));
-    }
+    SendOriginsTo(holder, kOriginsTag, held);
+  }
+}
+
+void PeerExchange::SendToAppender(const InstanceName& appender,
+                                  std::span<const KeyedOrigin> streams) {
+  SendOriginsTo(appender, kOriginsToAppendTag, streams);
+}
+
+void PeerExchange::SendOriginsTo(const InstanceName& receiver,
+                                 char tag,
+                                 std::span<const KeyedOrigin> streams) {
+  const Member* member = FindMember(receiver);
+  for (size_t at = 0; member != nullptr && at < streams.size();
+       at += kMaxOriginsPerDatagram) {
+    const auto piece = streams.subspan(
+        at, std::min(kMaxOriginsPerDatagram, streams.size() - at));
+    SendTo(member->probe_address,
+           fmt::format("{}{}", tag, EncodeOrigins(piece)));
   }
 }
 
@@ -450,10 +469,7 @@
   const auto* response = std::get_if<HttpResponseMessage>(&result);
   if (response != nullptr && response->result() == http::status::ok) {
     if (auto report = DecodeOriginReport(response->body())) {
-      inquiry->report.recent_versions.merge(report->recent_versions);
-      if (report->origin) {
-        inquiry->report.origin = std::move(report->origin);
-      }
+      MergeReport(inquiry->report, std::move(*report));
     }
   }
   if (--inquiry->unanswered == 0 || inquiry->report.origin) {
@@ -462,9 +478,9 @@
 }
 
 StreamOriginReport PeerExchange::ReportOrigin(std::string_view target) const {
-  const StreamOrigins& origins = m_context.router.Origins();
-  return {FindOrigin(origins, QueryNumber(target, kStreamParameter)),
-          RecentVersions(origins, {QueryText(target, kServiceParameter)})};
+  return pomeloring::ReportOrigin(
+      m_context.router.Origins(), QueryNumber(target, kStreamParameter),
+      {QueryText(target, kServiceParameter)}, Now());
 }
 
 void PeerExchange::HandleDigestBytes(std::string_view bytes) {
