--- a/test/support/engine_fleet.cc
+++ b/test/support/engine_fleet.cc
@@ -46,12 +46,13 @@
 void EngineFleet::Start(Router& router,
                         std::shared_ptr<PlacedAttempt> attempt,
                         uint32_t output_tokens,
-                        Time now) {
+                        Time now,
+                        std::optional<Time> arrived) {
   EngineJob job;
   job.router = &router;
   job.unread_tokens = std::max(1U, attempt->placement.pending_prefill_tokens);
   job.output_tokens = output_tokens;
-  job.arrived = now;
+  job.arrived = arrived.value_or(now);
   Engine& engine = m_engines.at(attempt->upstream->record.id);
   job.attempt = std::move(attempt);
   engine.jobs.push_back(std::move(job));
@@ -115,6 +116,7 @@
     }
     FleetResult& result = m_results[job->attempt->route];
     ++result.complete;
+    result.slot_ms += ToMillis(now - job->attempt->started);
     const Duration first = job->first_event_at - job->arrived;
     result.on_time += first <= job->attempt->latency_target ? 1 : 0;
     job->router->EndAttempt(*job->attempt, UpstreamOutcome::kServed, now);
--- a/test/support/engine_fleet.h
+++ b/test/support/engine_fleet.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "routing/router.h"
@@ -40,6 +41,7 @@
 struct FleetResult {
   uint64_t complete = 0;
   uint64_t on_time = 0;  // First event within the latency target.
+  double slot_ms = 0;    // Sum of the times from placement to end.
 };
 
 class EngineFleet {
@@ -49,11 +51,13 @@
   // Makes one engine take `factor` times as long for each step.
   void SetSlowFactor(const UpstreamName& name, double factor);
   // Adds a job at the attempt's upstream; its prompt tokens that the engine has
-  // not cached are those that the placement expects to be prefilled.
+  // not cached are those that the placement expects to be prefilled. The
+  // latency target counts from `arrived`, by default from `now`.
   void Start(Router& router,
              std::shared_ptr<PlacedAttempt> attempt,
              uint32_t output_tokens,
-             Time now);
+             Time now,
+             std::optional<Time> arrived = std::nullopt);
   // Finishes all steps that end up to `now`.
   void Advance(Time now);
   // Of the jobs that have ended, by route.
