Slots of engines with few of them go by priority

Placement limited the prefill share but not slots, so the least urgent class filled the batches and the queues of engines with 12 slots in a burst, and urgent requests waited there for the slots of streams of 1.7 s.

A request of such a service now starts only if more slots are free over all engines than higher priorities need for bursts; each instance uses its part of the rest. Others wait at the instance, those that can still be on time first, as long as they can end within their time; what the known backlog makes hopeless is refused immediately. The engine is chosen in proportion to the free slots, since all instances see the same loads for as long as their digests are old. While the loads of others are unknown, an instance uses its own share.

Services whose engines have 32 slots or more are placed as before.

--- a/bench/decision_bench.cc
+++ b/bench/decision_bench.cc
@@ -1,12 +1,15 @@
 // Benchmarks one decision of a cell's scheduler, by number of replicas and of
-// queued slot requests.
+// queued slot requests, and one placement of a router, by number of engines and
+// slots.
 
 #include <benchmark/benchmark.h>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <chrono>
 
 #include "pomeloring/core.h"
+#include "support/routing_site.h"
 #include "support/virtual_site.h"
 
 namespace pomeloring {
@@ -85,6 +88,54 @@
     ->Args({64, 4000})
     ->Iterations(20000);
 
+// Engines with `slots` slots, three quarters of them in use by other instances
+// as one relay tells. Requests of the lowest priority start and end.
+void BM_Placement(benchmark::State& state) {
+  const auto engines = static_cast<int>(state.range(0));
+  const auto slots = static_cast<uint32_t>(state.range(1));
+  Time now{seconds(1000)};
+  const auto router = ReadyRouter(engines, now);
+  auto config = std::make_shared<RoutingConfig>(*SmallRouting(2));
+  config->services.at({kEngineService}).engine->batch_slots = slots;
+  IndexRoutes(*config);
+  router->ApplyConfig(config);
+  PeerDigest digest;
+  digest.sender.value = "relay";
+  digest.scope = DigestScope::kAll;
+  for (uint32_t i = 0; i < 84; ++i) {
+    digest.serving.push_back(i + 1);
+  }
+  for (int i = 0; i < engines; ++i) {
+    UpstreamLoad load;
+    load.running = slots * 3 / 4;
+    digest.loads.emplace_back(UpstreamName{fmt::format("e{}", i)}, load);
+  }
+  std::vector<double> latencies_us;
+  uint64_t decisions = 0;
+  for (auto _ : state) {
+    now += milliseconds(5);
+    if (decisions++ % 20 == 0) {
+      ++digest.sequence;
+      router->HandleDigest(digest, now);
+      router->Tick(now);
+    }
+    const AttemptRequest request =
+        RequestOn(*router, decisions % 4 == 0 ? "question" : "draft", 600);
+    const auto begin = std::chrono::steady_clock::now();
+    auto result = router->StartAttempt(request, now);
+    const auto end = std::chrono::steady_clock::now();
+    latencies_us.push_back(
+        std::chrono::duration<double, std::micro>(end - begin).count());
+    if (auto* attempt = std::get_if<std::shared_ptr<PlacedAttempt>>(&result)) {
+      router->EndAttempt(**attempt, UpstreamOutcome::kServed, now);
+    }
+  }
+  std::sort(latencies_us.begin(), latencies_us.end());
+  state.counters["p50_us"] = latencies_us[latencies_us.size() / 2];
+  state.counters["p99_us"] = latencies_us[latencies_us.size() * 99 / 100];
+}
+BENCHMARK(BM_Placement)->Args({160, 12})->Args({160, 64})->Iterations(20000);
+
 }  // namespace
 }  // namespace pomeloring
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -180,7 +180,8 @@
                                          now - m_received_at,
                                          TimeLeft(),
                                          m_failed_upstreams,
-                                         VersionOf(m_origin)};
+                                         VersionOf(m_origin),
+                                         StableHash(m_metadata.id)};
     auto result = m_gateway.router.StartAttempt(attempt_request, now);
     if (std::holds_alternative<Deferred>(result)) {
       if (!co_await WaitForCapacity()) {
--- a/src/gateway/exchange_replies.cc
+++ b/src/gateway/exchange_replies.cc
@@ -20,6 +20,8 @@
     case PlacementRefusal::kQuarantined:
       return {503, "quarantined-request",
               "upstreams exit under this request or a part of its prompt"};
+    case PlacementRefusal::kNoSlot:
+      return {503, "no-slot", "more urgent requests need the free slots"};
     case PlacementRefusal::kNoUpstream:
       break;
   }
@@ -38,7 +40,10 @@
     co_return;
   }
   LocalReply reply = RefusalReply(unplaced.reason);
-  reply.retry_after = std::max(unplaced.retry_after, kDefaultRetryAfter);
+  // For want of a slot, a caller may be told to return sooner.
+  reply.retry_after = unplaced.reason == PlacementRefusal::kNoSlot
+                          ? unplaced.retry_after
+                          : std::max(unplaced.retry_after, kDefaultRetryAfter);
   if (m_origin && unplaced.reason == PlacementRefusal::kNoUpstream) {
     reply.type = "no-upstream-of-version";
     reply.detail = "no upstream of the version that began the stream is in use";
@@ -57,6 +62,9 @@
        {"max_read_share", fmt::format("{:.2f}", unplaced.max_prefill_share)},
        {"expected_ms", fmt::format("{:.0f}", unplaced.expected_ms)},
        {"max_ms", fmt::format("{:.0f}", unplaced.max_ms)},
+       {"priority", std::to_string(m_route->priority)},
+       {"reserved_slots", fmt::format("{:.0f}", unplaced.slots.reserve)},
+       {"backlog", std::to_string(unplaced.slots.backlog)},
        {"ms_per_token", fmt::format("{:.4f}", unplaced.prefill_ms_per_token)},
        {"estimate_age_ms",
         fmt::format("{:.0f}", ToMillis(unplaced.estimate_age))},
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -56,6 +56,20 @@
   for (const auto& [name, count] : metrics.events) {
     out += fmt::format("pomeloring_{}_total {}\n", name, count);
   }
+  for (const auto& [service, slots] : router.Slots()) {
+    for (const auto& [priority, slot_class] : slots.classes) {
+      for (const auto& [name, count] :
+           {std::pair("slot_starts", slot_class.starts),
+            std::pair("slot_waits", slot_class.waits),
+            std::pair("slot_refusals", slot_class.refusals),
+            std::pair("slot_refusals_after_wait",
+                      slot_class.refusals_after_wait)}) {
+        out += fmt::format(
+            "pomeloring_{}_total{{service=\"{}\",priority=\"{}\"}} {}\n", name,
+            service.value, priority, count);
+      }
+    }
+  }
   const auto config = router.Config();
   out += fmt::format(
       "pomeloring_config_version {}\npomeloring_newest_config_version {}\n"
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -49,6 +49,12 @@
 // If the expected latency exceeds this fraction of the time left, too little is
 // left to finish.
 constexpr double kMaxLatencyFraction = 0.6;
+// Scale of the random part of the choice among engines with few slots. With a
+// hundred free slots, the least values differ by 100 ms: more than what the
+// prefill shares of engines differ by, and less than the redundant prefill of a
+// long prompt. With 1,000, all instances still preferred the same engines, and
+// 91 in 100 urgent requests of a burst were on time instead of 97.
+constexpr double kSlotSpreadMs = 10000;
 Duration FromMillis(double ms) {
   return Duration{static_cast<int64_t>(ms * 1000)};
 }
@@ -73,6 +79,7 @@
   double interference_ms = 0;
   uint32_t prefill_tokens = 0;
   bool gap_sensitive = false;
+  uint32_t running = 0;
 };
 
 // A chunk late in a long prompt takes longer than the mean of the chunks.
@@ -157,6 +164,7 @@
   const double ms_per_token = estimate.prefill_ms_per_token * latency_ratio;
   const auto pending_tokens = static_cast<double>(PendingPrefillTokens(load));
   Cost cost;
+  cost.running = load.running;
   cost.prefill_tokens = request.prompt_tokens - cached;
   const auto tokens_ahead = static_cast<double>(
       PendingPrefillUpTo(load, UrgencyRankOf(*request.route)));
@@ -204,6 +212,38 @@
          kMaxPrefillShareStep * route.lower_priority_count;
 }
 
+// Where engines have few slots, all instances would choose the same ones until
+// the next digests: those with the most free slots, or the fastest. A latency
+// within the target is as good as any there, and the choice is random, in
+// proportion to the free slots. (The least of exponential variables is that of
+// a candidate with a probability proportional to its rate.)
+double SpreadCostMs(double free_slots, uint64_t& random) {
+  const double uniform =
+      static_cast<double>(NextRandom(random) >> 11) * 0x1p-53;
+  return -std::log(1 - uniform) * kSlotSpreadMs / free_slots;
+}
+
+// Adds the engine to `supply`. Returns whether the request may be sent there.
+bool UseSlots(const PlacementRequest& request,
+              bool may_queue,
+              SlotSupply& supply,
+              Cost& cost,
+              uint64_t& random) {
+  ++supply.engines;
+  supply.running += cost.running;
+  if (cost.running >= supply.slots_per_engine) {
+    cost.cost_ms += kSlotSpreadMs;
+    return may_queue;
+  }
+  const double free_slots = supply.slots_per_engine - cost.running;
+  supply.free += free_slots;
+  cost.cost_ms +=
+      SpreadCostMs(free_slots, random) -
+      std::min(cost.latency_ms, ToMillis(request.route->latency_target)) -
+      kCostPerRunningRequestMs * cost.running;
+  return true;
+}
+
 // Returns how long until an engine's prefill share has decayed to `max`, or 0.
 double MsUntilPrefillShare(double share, double max) {
   return share <= max
@@ -304,11 +344,26 @@
                                Time now,
                                uint64_t random) {
   const auto& engine = request.service->engine;
+  SlotQuestion question{request.route->priority,
+                        request.ticket,
+                        request.waited,
+                        request.time_left,
+                        request.route->latency_target,
+                        estimate.first_event_delay_ms};
+  if (request.slots != nullptr && MustWaitOn(*request.slots, question, now)) {
+    return Deferred{};
+  }
   const double target_ms = ToMillis(request.route->latency_target);
   const double max_latency_ms =
       kMaxLatencyFraction * ToMillis(request.time_left);
   const double max_share = MaxPrefillShare(*request.route, estimate, now);
   const SharedPrompt shared = FindSharedPrompt(request, candidates, now);
+  SlotSupply supply{engine ? engine->batch_slots : 0};
+  // Only the highest priority may wait at an engine for a slot.
+  const bool may_queue =
+      request.slots == nullptr || !request.slots->is_scarce ||
+      !HasHigherPriority(*request.slots, request.route->priority, now);
+  uint64_t spread_random = random;
   std::optional<Cost> best;
   UpstreamState* chosen = nullptr;
   std::optional<double> min_wait_ms;  // Until one could accept the request.
@@ -326,6 +381,10 @@
     cost.cost_ms += PathCostMs(*upstream);
     total_share += cost.prefill_share;
     ++usable;
+    if (request.slots != nullptr &&
+        !UseSlots(request, may_queue, supply, cost, spread_random)) {
+      continue;
+    }
     const double wait_ms = cost.latency_ms - max_latency_ms;
     min_wait_ms = min_wait_ms ? std::min(*min_wait_ms, wait_ms) : wait_ms;
     if (wait_ms > 0) {
@@ -342,9 +401,24 @@
       chosen = upstream;
     }
   }
-  if (!min_wait_ms) {
+  if (usable == 0) {
     return DeferOrRefuse(request, candidates, now, random);
   }
+  if (request.slots != nullptr) {
+    question.expected_ms = best ? best->latency_ms : question.expected_ms;
+    const SlotDecision decision =
+        DecideSlot(*request.slots, question, supply, now, random);
+    if (decision.verdict == SlotVerdict::kRefuse) {
+      Unplaced unplaced{PlacementRefusal::kNoSlot, decision.retry_after,
+                        usable};
+      unplaced.expected_ms = decision.expected_wait_ms;
+      unplaced.slots = decision;
+      return unplaced;
+    }
+    if (decision.verdict == SlotVerdict::kWait || !min_wait_ms) {
+      return Deferred{};
+    }
+  }
   const double mean_share = total_share / static_cast<double>(usable);
   const double decay_ms = MsUntilPrefillShare(mean_share, max_share);
   const bool may_wait =
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "admission/slot_admission.h"
 #include "routing/engine_estimate.h"
 #include "routing/request_traits.h"
 #include "routing/routing_config.h"
@@ -34,6 +35,9 @@
   bool may_use_ejected = false;
   // At each upstream; see UnseenStarts().
   double unseen_starts = 0;
+  // Of the service; null if slots are not its bottleneck.
+  SlotAdmission* slots = nullptr;
+  uint64_t ticket = 0;  // See SlotQuestion.
 };
 
 struct Placement {
@@ -55,6 +59,8 @@
   // this instance has used its share.
   kLimited,
   kQuarantined,  // Upstreams exit under one of its traits.
+  // Higher priorities need the free slots, and none will be left in time.
+  kNoSlot,
 };
 
 struct Unplaced {
@@ -72,6 +78,7 @@
   double prefill_ms_per_token = 0;  // See EngineEstimate.
   Duration estimate_age{0};
   RequestTrait quarantined_trait;  // For kQuarantined.
+  SlotDecision slots;              // For kNoSlot.
 };
 
 // The request should wait and be placed later: all upstreams are full, a higher
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -306,6 +306,8 @@
                                      request.time_left,
                                      WasHigherPriorityRefused(request, now),
                                      request.excluded};
+  placement_request.slots = SlotsOf(service->second);
+  placement_request.ticket = request.ticket;
   placement_request.unseen_starts =
       UnseenStartsOf(request.service, candidates, now);
   placement_request.may_use_ejected =
@@ -353,6 +355,8 @@
       service->second.engine ? service->second.engine->tokens_per_event : 0;
   attempt->batch_slots =
       service->second.engine ? service->second.engine->batch_slots : 0;
+  attempt->priority = request.route->priority;
+  RecordSlotUse(request, now);
   RecordStart(attempt->upstream->backpressure, now);
   const UpstreamLoad load_before = TotalLoad(*attempt->upstream);
   attempt->no_prefill_ahead = PendingPrefillTokens(load_before) == 0;
@@ -413,6 +417,7 @@
   --local_load.running;
   local_load.gap_sensitive -= attempt.placement.gap_sensitive ? 1 : 0;
   if (outcome == UpstreamOutcome::kServed) {
+    RecordSlotTime(attempt, now);
     const uint64_t tokens = attempt.events * attempt.tokens_per_event;
     RecordCompleteRun(m_engines[attempt.service], attempt.route,
                       static_cast<double>(tokens), now - attempt.started);
@@ -635,6 +640,7 @@
     }
   }
   DivideLimits(now);
+  UpdateSlots(now);
   UpdatePeerPaths(now);
   UpdateVersions(now);
   ProcessExits(now);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -63,6 +63,7 @@
   Duration latency_target{0};
   uint32_t tokens_per_event = 0;  // 0 for a plain service, as the next.
   uint32_t batch_slots = 0;
+  uint32_t priority = 0;  // Of the route.
   uint64_t events = 0;
   Time last_event_at;
 };
@@ -78,6 +79,8 @@
   std::vector<UpstreamName> excluded;
   // For a stream that goes on: only upstreams of this version may serve it.
   std::optional<std::string> software_version;
+  // Identifies the request among those of this instance that wait; 0: none.
+  uint64_t ticket = 0;
 };
 
 using StartAttemptResult =
@@ -260,6 +263,8 @@
     return m_engines;
   }
   std::vector<const UpstreamState*> AllUpstreams() const;
+  // Of services whose engines have few slots.
+  const std::map<ServiceName, SlotAdmission>& Slots() const { return m_slots; }
 
  private:
   struct DepartedUpstream {
@@ -306,6 +311,11 @@
   void ApplyNotices(const PeerDigest& digest, Time now);
   void ApplyTraitNotices(const PeerDigest& digest, Time now);
   std::vector<UpstreamNotice> BuildNotices(Time now) const;
+  // Returns null unless the service's engines have few slots.
+  SlotAdmission* SlotsOf(const RoutedService& service);
+  void UpdateSlots(Time now);
+  void RecordSlotUse(const AttemptRequest& request, Time now);
+  void RecordSlotTime(const PlacedAttempt& attempt, Time now);
   // Divides the upstreams' limits among the instances that serve now.
   void DivideLimits(Time now);
 
@@ -334,6 +344,8 @@
   // Time of the last refusal for lack of capacity, by service and priority.
   std::map<ServiceName, std::map<uint32_t, Time>> m_last_refusals;
   std::map<ServiceName, EngineEstimate> m_engines;
+  // Of services whose engines have few slots.
+  std::map<ServiceName, SlotAdmission> m_slots;
   uint64_t m_round_robin_index = 0;  // For kRoundRobin.
   std::map<InstanceName, PeerState> m_peers;
   // Recently cached parts that are still to be sent: to all peers or the other
--- a/test/routing/urgent_streams_keep_slots_in_a_burst_test.cc
+++ b/test/routing/urgent_streams_keep_slots_in_a_burst_test.cc
@@ -150,6 +150,7 @@
           RequestOn(router, waiting.load->route, waiting.load->prompt_tokens);
       request.waited = now - waiting.arrived;
       request.time_left = request.route->timeout - request.waited;
+      request.ticket = waiting.ticket;
       if (request.waited == Duration{0}) {
         router.CountRequest(request.service, now);
       }
