A rare higher priority holds lower ones back as well

An instance of a large fleet may see no start of a rare urgent class for more than 4 s, and took the next priority for the highest one then. A priority now counts for 60 s after its last start. The load of an upstream is no longer summed where no rejections matter.

--- a/src/admission/slot_admission.cc
+++ b/src/admission/slot_admission.cc
@@ -14,6 +14,9 @@
 // Time constant of the start rates: some ten starts of an instance of a large
 // fleet, and shorter than the load changes that matter.
 constexpr double kRateTimeConstantMs = 4000;
+// A priority without a start for this long no longer holds lower ones back. An
+// instance of a large fleet sees one start of a rare class in some seconds.
+constexpr Duration kHigherPriorityMemory = seconds(60);
 constexpr double kSlotTimeSmoothing = 0.1;
 // All instances together use this fraction of the slots above the reserve in
 // the age of the known loads. With all of them, what they place in that time
@@ -180,7 +183,8 @@
                        Time now) {
   const auto end = admission.classes.lower_bound(priority);
   return std::any_of(admission.classes.begin(), end, [&](const auto& entry) {
-    return ToMillis(now - entry.second.starts_updated_at) < kRateTimeConstantMs;
+    return entry.second.starts > 0 &&
+           now - entry.second.starts_updated_at < kHigherPriorityMemory;
   });
 }
 
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -218,9 +218,9 @@
 // proportion to the free slots. (The least of exponential variables is that of
 // a candidate with a probability proportional to its rate.)
 double SpreadCostMs(double free_slots, uint64_t& random) {
-  const double uniform =
-      static_cast<double>(NextRandom(random) >> 11) * 0x1p-53;
-  return -std::log(1 - uniform) * kSlotSpreadMs / free_slots;
+  const auto uniform =
+      (static_cast<float>(NextRandom(random) >> 41) + 0.5F) * 0x1p-23F;
+  return -std::log(uniform) * kSlotSpreadMs / free_slots;
 }
 
 // Adds the engine to `supply`. Returns whether the request may be sent there.
@@ -298,10 +298,11 @@
   const uint32_t slots = engine ? engine->batch_slots : upstream.record.slots;
   return IsUsableButForBackpressure(upstream, request, now) &&
          TimeUntilStart(upstream.backpressure, now) == Duration{0} &&
-         HasRoom(upstream.backpressure, slots,
-                 {upstream.local_load.running, TotalLoad(upstream).running,
-                  request.unseen_starts},
-                 now);
+         (!upstream.backpressure.max_rejections ||
+          HasRoom(upstream.backpressure, slots,
+                  {upstream.local_load.running, TotalLoad(upstream).running,
+                   request.unseen_starts},
+                  now));
 }
 
 PlacementResult DeferOrRefuse(const PlacementRequest& request,
--- a/test/admission/slots_go_by_priority_test.cc
+++ b/test/admission/slots_go_by_priority_test.cc
@@ -21,6 +21,7 @@
   urgent.starts_per_s = 300.0 / static_cast<double>(instances);
   urgent.starts_updated_at = kNow;
   urgent.mean_slot_ms = 1000;
+  urgent.starts = 1;
   admission.classes[2] = urgent;
   admission.classes[2].mean_slot_ms = 2000;
   return admission;
