--- a/src/gateway/duty_runner.cc
+++ b/src/gateway/duty_runner.cc
@@ -39,6 +39,12 @@
   return std::chrono::ceil<milliseconds>(std::max(duration, Duration{0}));
 }
 
+// Never 0, which a receiver may take for no token: the first record of a log
+// without eras is at position 0.
+uint64_t FencingToken(LogOffset claim) {
+  return claim.value + 1;
+}
+
 std::string_view ToString(DutyLoss loss) {
   switch (loss) {
     case DutyLoss::kNone:
@@ -91,7 +97,7 @@
     const Time deadline = m_runner.m_context.now() + call_timeout;
     DutyIdentity identity;
     identity.holder = m_runner.m_lease.settings.self;
-    identity.fencing_token = m_token.value;
+    identity.fencing_token = FencingToken(m_token);
     identity.timeout = call_timeout;
     identity.may_send = [&runner = m_runner, token = m_token, deadline] {
       // Past its deadline only after a freeze: then it is not sent, however
@@ -119,7 +125,8 @@
           record.task = std::move(task);
           record.decision = std::move(decision);
         });
-    co_return is_recorded&& MayAct(Duration{0});
+    const bool may_act = MayAct(Duration{0});
+    co_return is_recorded&& may_act;
   }
 
   PlatformApi& Api() override { return m_runner.m_context.api; }
@@ -417,7 +424,7 @@
     m_context.log.Write(
         m_lease.is_leaving ? LogLevel::kInfo : LogLevel::kWarning,
         "duties-lost",
-        {{"token", std::to_string(m_reported_token->value)},
+        {{"token", std::to_string(FencingToken(*m_reported_token))},
          {"reason",
           m_lease.is_leaving ? "stopping" : std::string(ToString(reason))},
          {"holder", m_lease.holder.value}});
@@ -427,7 +434,7 @@
     CountEvent(m_context.metrics, "duty_leases_gained");
     m_context.log.Write(
         LogLevel::kInfo, "duties-gained",
-        {{"token", std::to_string(m_lease.token->value)},
+        {{"token", std::to_string(FencingToken(*m_lease.token))},
          {"again", m_lease.token == m_reported_token ? "true" : "false"},
          {"lease_ms", milliseconds_of(m_lease.lease_end - m_context.now())}});
     m_was_holding = true;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -219,6 +219,7 @@
                   loaded.metrics_address);
   require_restart("platform_address", current.platform_address,
                   loaded.platform_address);
+  require_restart("duties", current.duties, loaded.duties);
   require_restart("link_mbps", current.link_mbps, loaded.link_mbps);
   require_restart("change_deadline_ms", current.change_deadline,
                   loaded.change_deadline);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -30,6 +30,7 @@
   // After the end of a window its usage is due.
   std::chrono::seconds usage_deadline{10};
   double usage_tolerance = 0.05;  // Of the true count of each account.
+  bool operator==(const DutySettings&) const = default;
 };
 
 struct GatewaySettings {
--- a/test/gateway/duties_are_done_by_one_test.cc
+++ b/test/gateway/duties_are_done_by_one_test.cc
@@ -74,6 +74,7 @@
     if (!identity.may_send()) {
       co_return ApiCallResult{ApiCallEnd::kNotSent, 0};
     }
+    CHECK(identity.fencing_token > 0);
     senders.push_back(identity.holder.value);
     co_return ApiCallResult{ApiCallEnd::kAccepted, 200};
   }
