--- a/src/admission/slot_admission.h
+++ b/src/admission/slot_admission.h
@@ -15,7 +15,7 @@
 
 // Engines with more slots are never short of free ones for long: as many end in
 // the age of the known loads as higher priorities start.
-inline constexpr uint32_t kMaxScarceSlots = 31;
+inline constexpr uint32_t kMaxScarceSlots = 16;
 
 // The requests of one priority at one service, as this instance sees them.
 struct SlotClass {
