--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -52,8 +52,7 @@
 // Scale of the random part of the choice among engines with few slots. With a
 // hundred free slots, the least values differ by 100 ms: more than what the
 // prefill shares of engines differ by, and less than the redundant prefill of a
-// long prompt. With 1,000, all instances still preferred the same engines, and
-// 91 in 100 urgent requests of a burst were on time instead of 97.
+// long prompt.
 constexpr double kSlotSpreadMs = 10000;
 Duration FromMillis(double ms) {
   return Duration{static_cast<int64_t>(ms * 1000)};
