--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -88,6 +88,7 @@
   router.failure_domain = self.failure_domain;
   router.retries = settings.retries;
   router.placement = settings.placement;
+  router.admits_by_slots = settings.admits_by_slots;
   router.random_seed = RandomBits();
   return router;
 }
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -57,6 +57,9 @@
     {"placement", "lowest_cost, round_robin, least_runs or two_choices",
      "lowest_cost",
      "how an upstream is chosen; all but the first are baselines"},
+    {"slot_admission", "true or false", "false",
+     "hold back requests of lower priorities from the slots of engines with at "
+     "most 16 of them, so that higher ones find a free slot"},
     {"keep_addresses_s", "1 to 3600 s", "1",
      "how long callers may keep the address answer"},
     {"longest_drain_s", "1 to 3600 s", "8",
@@ -160,6 +163,8 @@
     reader.Fail(OutOfRange{
         "placement", "lowest_cost, round_robin, least_runs or two_choices"});
   }
+  settings.admits_by_slots =
+      reader.Bool("slot_admission", settings.admits_by_slots);
   settings.address_ttl = seconds{reader.Int("keep_addresses_s", 1, 1, 3600)};
   settings.drain_timeout = seconds{reader.Int("longest_drain_s", 8, 1, 3600)};
   settings.log_level = ReadLogLevel(reader, settings.log_level);
@@ -224,6 +229,8 @@
   require_restart("change_deadline_ms", current.change_deadline,
                   loaded.change_deadline);
   require_restart("placement", current.placement, loaded.placement);
+  require_restart("slot_admission", current.admits_by_slots,
+                  loaded.admits_by_slots);
   require_restart("log_level", current.log_level, loaded.log_level);
   return result;
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -53,6 +53,7 @@
   std::chrono::milliseconds change_deadline{2000};
   RetryPolicy retries;
   PlacementPolicy placement = PlacementPolicy::kLowestCost;
+  bool admits_by_slots = false;
   std::chrono::seconds address_ttl{1};
   std::chrono::seconds drain_timeout{8};
   std::string log_level = "info";
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -43,6 +43,9 @@
   // again within this time of its recovery; see docs/design/routing.md.
   Duration expiry_grace_period = milliseconds(2200);
   uint64_t random_seed = 1;
+  // Whether requests are admitted to the slots of engines with few of them; see
+  // slot_admission.h.
+  bool admits_by_slots = false;
 };
 
 // One attempt to serve a request at an upstream, from placement to end.
--- a/src/routing/router_slots.cc
+++ b/src/routing/router_slots.cc
@@ -7,7 +7,8 @@
 namespace pomeloring {
 
 SlotAdmission* Router::SlotsOf(const RoutedService& service) {
-  if (!service.engine || service.engine->batch_slots > kMaxScarceSlots) {
+  if (!m_settings.admits_by_slots || !service.engine ||
+      service.engine->batch_slots > kMaxScarceSlots) {
     return nullptr;
   }
   return &m_slots[service.name];
--- a/test/routing/urgent_streams_keep_slots_in_a_burst_test.cc
+++ b/test/routing/urgent_streams_keep_slots_in_a_burst_test.cc
@@ -86,6 +86,7 @@
       RouterSettings settings;
       settings.name.value = fmt::format("i{}", i);
       settings.failure_domain.value = "here";
+      settings.admits_by_slots = true;
       settings.random_seed = 1 + static_cast<uint64_t>(i);
       m_routers.push_back(std::make_unique<Router>(settings));
       m_routers.back()->ApplyConfig(config);
