--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -89,6 +89,7 @@
   router.retries = settings.retries;
   router.placement = settings.placement;
   router.admits_by_slots = settings.admits_by_slots;
+  router.features = settings.features;
   router.random_seed = RandomBits();
   return router;
 }
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -14,6 +14,8 @@
 constexpr double kMaxFixedRetries = 1e6;
 constexpr double kMaxLinkMbps = 1e6;
 constexpr double kMaxDutyCallsPerS = 1e6;
+constexpr double kMaxMsPerMb = 1e6;
+constexpr int64_t kMaxMemoryMb = 1'000'000;
 
 constexpr SettingDoc kDocs[] = {
     {"name", "string", "", "the instance's name, unique among all"},
@@ -60,6 +62,23 @@
     {"slot_admission", "true or false", "false",
      "hold back requests of lower priorities from the slots of engines with at "
      "most 16 of them, so that higher ones find a free slot"},
+    {"share_speeds", "true or false", "false",
+     "instances tell each other how fast each engine is, where engines have at "
+     "most 16 slots"},
+    {"isolate_streams", "true or false", "false",
+     "keep some engines for streams that long prompts beside them would delay, "
+     "where engines have at most 16 slots"},
+    {"fair_accounts", "true or false", "false",
+     "while capacity is short, share it fairly among client accounts, where "
+     "engines have at most 16 slots"},
+    {"prefer_idle_connections", "true or false", "false",
+     "prefer upstreams with an idle connection among nearly equal ones"},
+    {"cross_domain_ms_per_mb", "0 to 1000000", "none",
+     "what a megabyte between failure domains is worth in ms of waiting; with "
+     "it, instances agree on how many requests leave their failure domain"},
+    {"memory_mb", "0 to 1000000 MB", "0",
+     "the limit of this process's memory, within which its buffers stay; 0: "
+     "not known"},
     {"keep_addresses_s", "1 to 3600 s", "1",
      "how long callers may keep the address answer"},
     {"longest_drain_s", "1 to 3600 s", "8",
@@ -165,6 +184,20 @@
   }
   settings.admits_by_slots =
       reader.Bool("slot_admission", settings.admits_by_slots);
+  LoadFeatures& features = settings.features;
+  features.shares_speeds = reader.Bool("share_speeds", features.shares_speeds);
+  features.isolates_streams =
+      reader.Bool("isolate_streams", features.isolates_streams);
+  features.fair_accounts = reader.Bool("fair_accounts", features.fair_accounts);
+  features.prefers_idle_connections =
+      reader.Bool("prefer_idle_connections", features.prefers_idle_connections);
+  if (reader.Raw("cross_domain_ms_per_mb") != nullptr) {
+    features.cross_domain_ms_per_mb =
+        ReadNumber(reader, "cross_domain_ms_per_mb", 0, kMaxMsPerMb);
+  }
+  settings.memory_mb =
+      static_cast<uint64_t>(reader.Int("memory_mb", 0, 0, kMaxMemoryMb));
+  features.places_by_memory = settings.memory_mb > 0;
   settings.address_ttl = seconds{reader.Int("keep_addresses_s", 1, 1, 3600)};
   settings.drain_timeout = seconds{reader.Int("longest_drain_s", 8, 1, 3600)};
   settings.log_level = ReadLogLevel(reader, settings.log_level);
@@ -231,6 +264,19 @@
   require_restart("placement", current.placement, loaded.placement);
   require_restart("slot_admission", current.admits_by_slots,
                   loaded.admits_by_slots);
+  require_restart("share_speeds", current.features.shares_speeds,
+                  loaded.features.shares_speeds);
+  require_restart("isolate_streams", current.features.isolates_streams,
+                  loaded.features.isolates_streams);
+  require_restart("fair_accounts", current.features.fair_accounts,
+                  loaded.features.fair_accounts);
+  require_restart("prefer_idle_connections",
+                  current.features.prefers_idle_connections,
+                  loaded.features.prefers_idle_connections);
+  require_restart("cross_domain_ms_per_mb",
+                  current.features.cross_domain_ms_per_mb,
+                  loaded.features.cross_domain_ms_per_mb);
+  require_restart("memory_mb", current.memory_mb, loaded.memory_mb);
   require_restart("log_level", current.log_level, loaded.log_level);
   return result;
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -13,6 +13,7 @@
 
 #include "daemon/settings.h"
 #include "routing/baseline_policies.h"
+#include "routing/load_features.h"
 #include "routing/shared_retry_budget.h"
 
 namespace pomeloring {
@@ -54,6 +55,9 @@
   RetryPolicy retries;
   PlacementPolicy placement = PlacementPolicy::kLowestCost;
   bool admits_by_slots = false;
+  LoadFeatures features;
+  // The limit of this process's memory; 0: not known.
+  uint64_t memory_mb = 0;
   std::chrono::seconds address_ttl{1};
   std::chrono::seconds drain_timeout{8};
   std::string log_level = "info";
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -38,6 +38,8 @@
   // Of the service; null if slots are not its bottleneck.
   SlotAdmission* slots = nullptr;
   uint64_t ticket = 0;  // See SlotQuestion.
+  // Whether some engines are kept for streams that long prefills would delay.
+  bool isolates_streams = false;
 };
 
 struct Placement {
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -308,6 +308,7 @@
                                      request.excluded};
   placement_request.slots = SlotsOf(service->second);
   placement_request.ticket = request.ticket;
+  placement_request.isolates_streams = IsolatesStreams(service->second);
   placement_request.unseen_starts =
       UnseenStartsOf(request.service, candidates, now);
   placement_request.may_use_ejected =
@@ -691,6 +692,7 @@
   }
   DivideLimits(now);
   UpdateSlots(now);
+  UpdateIsolation(now);
   UpdatePeerPaths(now);
   UpdateVersions(now);
   ProcessExits(now);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -14,8 +14,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include "isolation/stream_isolation.h"
 #include "routing/baseline_policies.h"
 #include "routing/exit_watch.h"
+#include "routing/load_features.h"
 #include "routing/peer_digest.h"
 #include "routing/peer_path.h"
 #include "routing/placement.h"
@@ -46,6 +48,7 @@
   // Whether requests are admitted to the slots of engines with few of them; see
   // slot_admission.h.
   bool admits_by_slots = false;
+  LoadFeatures features;
 };
 
 // One attempt to serve a request at an upstream, from placement to end.
@@ -289,6 +292,10 @@
   std::vector<const UpstreamState*> AllUpstreams() const;
   // Of services whose engines have few slots.
   const std::map<ServiceName, SlotAdmission>& Slots() const { return m_slots; }
+  // Of services whose streams are isolated.
+  const std::map<ServiceName, IsolatedEngines>& Isolated() const {
+    return m_isolated;
+  }
 
  private:
   struct DepartedUpstream {
@@ -341,6 +348,9 @@
   // Returns null unless the service's engines have few slots.
   SlotAdmission* SlotsOf(const RoutedService& service);
   void UpdateSlots(Time now);
+  // Updates which engines are isolated.
+  void UpdateIsolation(Time now);
+  bool IsolatesStreams(const RoutedService& service) const;
   void RecordSlotUse(const AttemptRequest& request, Time now);
   void RecordSlotTime(const PlacedAttempt& attempt, Time now);
   // Divides the upstreams' limits among the instances that serve now.
@@ -374,6 +384,8 @@
   std::map<ServiceName, EngineEstimate> m_engines;
   // Of services whose engines have few slots.
   std::map<ServiceName, SlotAdmission> m_slots;
+  // Of services whose streams are isolated.
+  std::map<ServiceName, IsolatedEngines> m_isolated;
   uint64_t m_round_robin_index = 0;  // For kRoundRobin.
   std::map<InstanceName, PeerState> m_peers;
   DutyNotice m_duties;
--- a/src/routing/routing_config.cc
+++ b/src/routing/routing_config.cc
@@ -31,10 +31,29 @@
   }
 }
 
+void FindMinEventGapTargets(RoutingConfig& config) {
+  for (auto& [name, service] : config.services) {
+    service.min_event_gap_target = Duration{0};
+  }
+  for (const Route& route : config.routes) {
+    for (const WeightedService& entry : route.services) {
+      const auto service = config.services.find(entry.service);
+      if (service == config.services.end() ||
+          route.event_gap_target <= Duration{0}) {
+        continue;
+      }
+      Duration& target = service->second.min_event_gap_target;
+      target = target == Duration{0} ? route.event_gap_target
+                                     : std::min(target, route.event_gap_target);
+    }
+  }
+}
+
 }  // namespace
 
 void IndexRoutes(RoutingConfig& config) {
   CountLowerPriorities(config);
+  FindMinEventGapTargets(config);
   config.routes_by_host.clear();
   for (size_t i = 0; i < config.routes.size(); ++i) {
     config.routes_by_host[LowerCase(config.routes[i].host)].push_back(i);
--- a/src/routing/routing_config.h
+++ b/src/routing/routing_config.h
@@ -75,6 +75,9 @@
   std::optional<EngineTraits> engine;
   // Without it, the operator alone starts and stops upstreams.
   std::optional<ScalingLimits> scaling;
+  // The shortest event gap target of the routes to it; zero: none. See
+  // IndexRoutes().
+  Duration min_event_gap_target{0};
 };
 
 struct RoutedAccount {
@@ -100,7 +103,8 @@
   std::unordered_map<std::string, std::vector<size_t>> routes_by_host;
 };
 
-// Sets `routes_by_host`, with hosts in lower case, and `lower_priority_count`.
+// Sets `routes_by_host`, with hosts in lower case, `lower_priority_count` and
+// `min_event_gap_target`.
 void IndexRoutes(RoutingConfig& config);
 
 // Returns the route of `host` with the longest prefix of `target`'s path, or
--- a/src/routing/upstream_state.h
+++ b/src/routing/upstream_state.h
@@ -77,6 +77,8 @@
   // While `direct_path` is lost: whether a peer may reach the upstream.
   bool has_peer_path = false;
   Backpressure backpressure;
+  // Kept for streams that long prefills would delay; see stream_isolation.h.
+  bool is_isolated = false;
   // Time of the last use by part id.
   std::unordered_map<uint64_t, Time> cached_parts;
 };
