Long prompts avoid the engines of gap-sensitive streams

Streams whose event gap target a long prefill beside them breaks get engines of their own, chosen by a hash of their names. The gap is forecast from the time of pending prefill instead of the number of uninterrupted prefill steps: an engine prefills between the tokens of its streams, and an event may have ten of them.

--- a/src/isolation/stream_isolation.cc
+++ b/src/isolation/stream_isolation.cc
@@ -77,7 +77,7 @@
   return isolated;
 }
 
-double MissedGapProbability(const GapForecast& forecast, double target_ms) {
+double ForecastMissedGap(const GapForecast& forecast, double target_ms) {
   const double ratio =
       (forecast.event_ms + forecast.pending_prefill_ms) / target_ms;
   return std::clamp((ratio - kRampBegin) / (kRampEnd - kRampBegin), 0.0, 1.0);
--- a/src/isolation/stream_isolation.h
+++ b/src/isolation/stream_isolation.h
@@ -56,7 +56,7 @@
 };
 
 // Probability that the event gap exceeds `target_ms`, which is positive.
-double MissedGapProbability(const GapForecast& forecast, double target_ms);
+double ForecastMissedGap(const GapForecast& forecast, double target_ms);
 
 }  // namespace pomeloring
 
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -70,6 +70,19 @@
 // it.
 constexpr Duration kMaxRetryAfterSpread = seconds(1);
 
+// Keeps long prompts off isolated engines while another one can start them with
+// much of the time left: above any other cost.
+constexpr double kLongPromptAtIsolatedCostMs = 20000;
+// Cost to a gap-sensitive stream of an engine that long prompts use: most of
+// its value is at stake, not all.
+constexpr double kNotIsolatedCostMs = 300;
+// Other requests leave the slots of isolated engines free unless the others are
+// this much slower.
+constexpr double kOtherAtIsolatedCostMs = 20;
+// A prompt is long if its prefill takes this fraction of the time by which an
+// event may be late: a few of them together delay it too much.
+constexpr double kLongPromptFraction = 0.25;
+
 struct Cost {
   double latency_ms = 0;
   double prefill_share = 0;  // Of the engine's time, without this request.
@@ -115,6 +128,7 @@
 // The last part belongs to the request alone, or to its session.
 const UpstreamState* FindHome(const PlacementRequest& request,
                               std::span<UpstreamState* const> candidates,
+                              bool avoids_isolated,
                               Time now) {
   const uint64_t part = request.parts[request.parts.size() - 2].id;
   const UpstreamState* home = nullptr;
@@ -123,6 +137,7 @@
     uint64_t seed = part ^ upstream->name_hash;
     const uint64_t weight = NextRandom(seed);
     if ((home == nullptr || weight > home_weight) &&
+        !(avoids_isolated && upstream->is_isolated) &&
         !upstream->backpressure.limit && IsUsable(*upstream, request, now)) {
       home = upstream;
       home_weight = weight;
@@ -133,6 +148,7 @@
 
 SharedPrompt FindSharedPrompt(const PlacementRequest& request,
                               std::span<UpstreamState* const> candidates,
+                              bool avoids_isolated,
                               Time now) {
   SharedPrompt shared;
   for (const UpstreamState* upstream : candidates) {
@@ -145,12 +161,58 @@
     shared_tokens += request.parts[i].tokens;
   }
   if (shared_tokens > shared.cached_tokens) {
-    shared.home = FindHome(request, candidates, now);
+    shared.home = FindHome(request, candidates, avoids_isolated, now);
     shared.home_tokens = shared_tokens;
   }
   return shared;
 }
 
+// Whether the request's own prefill, with nothing cached, may delay an event of
+// the service's most sensitive streams too much.
+bool IsLongPrompt(const PlacementRequest& request,
+                  const EngineTraits& engine,
+                  const EngineEstimate& estimate) {
+  const double slack_ms = ToMillis(request.service->min_event_gap_target) -
+                          engine.tokens_per_event * DecodeStepMs(estimate, 1);
+  return request.prompt_tokens * estimate.prefill_ms_per_token >
+         kLongPromptFraction * slack_ms;
+}
+
+// Replaces what the prefill that is not uninterrupted does to event gaps: an
+// engine prefills between the tokens of its streams, so that an event takes the
+// time of its tokens and of all prefill meanwhile.
+void AddIsolationCost(const PlacementRequest& request,
+                      const EngineTraits& engine,
+                      const UpstreamState& upstream,
+                      const EngineEstimate& estimate,
+                      const UpstreamLoad& load,
+                      Cost& cost) {
+  const double speed = upstream.health.latency_ratio;
+  const double target_ms = ToMillis(request.service->min_event_gap_target);
+  const double event_ms =
+      speed * engine.tokens_per_event *
+      DecodeStepMs(estimate, std::min(1.0, static_cast<double>(load.running) /
+                                               engine.batch_slots));
+  const double ms_per_token = estimate.prefill_ms_per_token * speed;
+  const double pending_ms =
+      static_cast<double>(PendingPrefillTokens(load)) * ms_per_token;
+  const double missed_now =
+      ForecastMissedGap({event_ms, pending_ms}, target_ms);
+  const double missed_then = ForecastMissedGap(
+      {event_ms, pending_ms + cost.prefill_tokens * ms_per_token}, target_ms);
+  cost.interference_ms =
+      kMissedGapCostMs * load.gap_sensitive * (missed_then - missed_now);
+  cost.cost_ms += cost.interference_ms;
+  if (cost.gap_sensitive) {
+    cost.cost_ms += kMissedGapCostMs * missed_now +
+                    (upstream.is_isolated ? 0 : kNotIsolatedCostMs);
+  } else if (upstream.is_isolated) {
+    cost.cost_ms += IsLongPrompt(request, engine, estimate)
+                        ? kLongPromptAtIsolatedCostMs
+                        : kOtherAtIsolatedCostMs;
+  }
+}
+
 Cost CostAtEngine(const PlacementRequest& request,
                   const EngineTraits& engine,
                   const UpstreamState& upstream,
@@ -190,10 +252,16 @@
   cost.gap_sensitive = event_gap_target.count() > 0 &&
                        ToMillis(event_gap_target) <
                            MaxEventGapMs(engine, estimate, latency_ratio);
+  if (cost.gap_sensitive) {
+    cost.cost_ms += kGapSensitivePrefillCostMs * cost.prefill_share;
+  }
+  if (request.isolates_streams) {
+    AddIsolationCost(request, engine, upstream, estimate, load, cost);
+    return cost;
+  }
   if (cost.gap_sensitive) {
     cost.cost_ms +=
-        kMissedGapCostMs * MissedGapProbability(pending_tokens, engine) +
-        kGapSensitivePrefillCostMs * cost.prefill_share;
+        kMissedGapCostMs * MissedGapProbability(pending_tokens, engine);
   }
   // Counts only the streams that would meet their target without this prompt.
   cost.interference_ms =
@@ -357,7 +425,10 @@
   const double max_latency_ms =
       kMaxLatencyFraction * ToMillis(request.time_left);
   const double max_share = MaxPrefillShare(*request.route, estimate, now);
-  const SharedPrompt shared = FindSharedPrompt(request, candidates, now);
+  const bool avoids_isolated = request.isolates_streams && engine &&
+                               IsLongPrompt(request, *engine, estimate);
+  const SharedPrompt shared =
+      FindSharedPrompt(request, candidates, avoids_isolated, now);
   SlotSupply supply{engine ? engine->batch_slots : 0};
   // Only the highest priority may wait at an engine for a slot.
   const bool may_queue =
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "admission/slot_admission.h"
+#include "isolation/stream_isolation.h"
 #include "routing/engine_estimate.h"
 #include "routing/request_traits.h"
 #include "routing/routing_config.h"
--- a/test/support/engine_fleet.cc
+++ b/test/support/engine_fleet.cc
@@ -105,10 +105,14 @@
     if (job->generated_tokens == 1) {
       const Time seen = now + FromMs(m_kind.first_event_ms);
       job->first_event_at = seen;
+      job->last_event_at = seen;
       job->router->HandleEvents(*job->attempt, 1, seen);
     } else if (job->generated_tokens % m_kind.tokens_per_event == 0) {
-      job->router->HandleEvents(*job->attempt, 1,
-                                now + FromMs(m_kind.first_event_ms));
+      const Time seen = now + FromMs(m_kind.first_event_ms);
+      job->max_event_gap =
+          std::max(job->max_event_gap, seen - job->last_event_at);
+      job->last_event_at = seen;
+      job->router->HandleEvents(*job->attempt, 1, seen);
     }
     if (!is_done) {
       ++job;
@@ -117,6 +121,7 @@
     FleetResult& result = m_results[job->attempt->route];
     ++result.complete;
     result.slot_ms += ToMillis(now - job->attempt->started);
+    result.max_event_gaps.push_back(job->max_event_gap);
     const Duration first = job->first_event_at - job->arrived;
     result.on_time += first <= job->attempt->latency_target ? 1 : 0;
     job->router->EndAttempt(*job->attempt, UpstreamOutcome::kServed, now);
--- a/test/support/engine_fleet.h
+++ b/test/support/engine_fleet.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "routing/router.h"
 
@@ -36,12 +37,15 @@
   uint32_t generated_tokens = 0;
   Time arrived;
   Time first_event_at;
+  Time last_event_at;
+  Duration max_event_gap{0};
 };
 
 struct FleetResult {
   uint64_t complete = 0;
   uint64_t on_time = 0;  // First event within the latency target.
   double slot_ms = 0;    // Sum of the times from placement to end.
+  std::vector<Duration> max_event_gaps;  // One a stream.
 };
 
 class EngineFleet {
--- /dev/null
+++ b/test/support/few_slots_site.h
@@ -0,0 +1,89 @@
+// Defines FewSlotsSite: many routers before engines with few slots and of three
+// speeds, under loads that burst, in virtual time.
+
+#ifndef POMELORING_TEST_SUPPORT_FEW_SLOTS_SITE_H_
+#define POMELORING_TEST_SUPPORT_FEW_SLOTS_SITE_H_
+
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "support/engine_fleet.h"
+#include "support/routing_site.h"
+
+namespace pomeloring {
+
+inline constexpr uint32_t kFewSlots = 12;
+
+struct FewSlotsKind {
+  EngineKind engine{"few-slots", kFewSlots, 62, 3, 0.25, 400, 5};
+  Duration question_gap_target{0};  // Of the most urgent route.
+};
+
+struct LoadClass {
+  std::string route;
+  double arrivals_per_s = 0;
+  uint32_t prompt_tokens = 0;
+  uint32_t mean_output_tokens = 0;
+  double burst = 1;
+};
+
+// Of all requests of a route that arrived during or shortly after the burst.
+struct RouteScore {
+  int arrived = 0;
+  int refused = 0;
+  int refused_late = 0;  // After waiting.
+};
+
+// Each router knows the loads of all others as one relay sends them, 100 ms
+// old.
+class FewSlotsSite {
+ public:
+  // `settings` are those of all routers, but for name and seed.
+  FewSlotsSite(int instances,
+               int engines,
+               const FewSlotsKind& kind,
+               const RouterSettings& settings);
+
+  void Run(std::span<const LoadClass> loads,
+           Duration burst_from,
+           Duration burst_to,
+           Duration end);
+
+  const FleetResult& Result(const std::string& route) const {
+    return m_engines.Results().at(route);
+  }
+  const RouteScore& Score(const std::string& route) { return m_scores[route]; }
+  size_t StillWaiting() const { return m_waiting.size(); }
+  const Router& FirstRouter() const { return *m_routers.front(); }
+
+ private:
+  struct Waiting {
+    size_t router = 0;
+    const LoadClass* load = nullptr;
+    uint32_t output_tokens = 0;
+    Time arrived;
+    Time next_poll;
+    uint64_t ticket = 0;
+  };
+
+  double Exponential();
+  void Arrive(const LoadClass& load, Time now);
+  void Poll(Time now);
+  void SendDigests(Time now);
+
+  EngineFleet m_engines;
+  std::vector<std::unique_ptr<Router>> m_routers;
+  std::vector<uint32_t> m_serving;
+  std::vector<Waiting> m_waiting;
+  std::map<std::string, RouteScore> m_scores;
+  uint64_t m_sequence = 0;
+  uint64_t m_tickets = 0;
+  uint64_t m_random = 7;
+};
+
+}  // namespace pomeloring
+
+#endif  // POMELORING_TEST_SUPPORT_FEW_SLOTS_SITE_H_
