--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -78,10 +78,15 @@
 constexpr double kNotIsolatedCostMs = 300;
 // Other requests leave the slots of isolated engines free unless the others are
 // this much slower.
-constexpr double kOtherAtIsolatedCostMs = 20;
+constexpr double kOtherAtIsolatedCostMs = 100;
 // A prompt is long if its prefill takes this fraction of the time by which an
 // event may be late: a few of them together delay it too much.
-constexpr double kLongPromptFraction = 0.25;
+constexpr double kLongPromptFraction = 0.15;
+// Engines prefill up to this many tokens in one step.
+constexpr double kMaxPrefillChunkTokens = 4096;
+// The streams of a service whose target is up to this multiple of the shortest
+// one are isolated together.
+constexpr double kSensitiveTargetFactor = 1.25;
 
 struct Cost {
   double latency_ms = 0;
@@ -167,6 +172,21 @@
   return shared;
 }
 
+// Whether continuous prefill would break the event gap target of the request's
+// stream, and that target is among the shortest of the service.
+bool IsIsolatedStream(const PlacementRequest& request,
+                      const EngineTraits& engine,
+                      const EngineEstimate& estimate) {
+  const double target_ms = ToMillis(request.route->event_gap_target);
+  const double max_gap_ms =
+      engine.tokens_per_event *
+      (DecodeStepMs(estimate, 0) +
+       kMaxPrefillChunkTokens * estimate.prefill_ms_per_token);
+  return target_ms > 0 && target_ms < max_gap_ms &&
+         target_ms <= kSensitiveTargetFactor *
+                          ToMillis(request.service->min_event_gap_target);
+}
+
 // Whether the request's own prefill, with nothing cached, may delay an event of
 // the service's most sensitive streams too much.
 bool IsLongPrompt(const PlacementRequest& request,
@@ -203,8 +223,10 @@
   cost.interference_ms =
       kMissedGapCostMs * load.gap_sensitive * (missed_then - missed_now);
   cost.cost_ms += cost.interference_ms;
+  cost.gap_sensitive = IsIsolatedStream(request, engine, estimate);
   if (cost.gap_sensitive) {
     cost.cost_ms += kMissedGapCostMs * missed_now +
+                    kGapSensitivePrefillCostMs * cost.prefill_share +
                     (upstream.is_isolated ? 0 : kNotIsolatedCostMs);
   } else if (upstream.is_isolated) {
     cost.cost_ms += IsLongPrompt(request, engine, estimate)
@@ -248,20 +270,18 @@
     cost.cost_ms +=
         kRedundantPrefillWeight * (cached_elsewhere - cached) * ms_per_token;
   }
-  const Duration event_gap_target = request.route->event_gap_target;
-  cost.gap_sensitive = event_gap_target.count() > 0 &&
-                       ToMillis(event_gap_target) <
-                           MaxEventGapMs(engine, estimate, latency_ratio);
-  if (cost.gap_sensitive) {
-    cost.cost_ms += kGapSensitivePrefillCostMs * cost.prefill_share;
-  }
   if (request.isolates_streams) {
     AddIsolationCost(request, engine, upstream, estimate, load, cost);
     return cost;
   }
+  const Duration event_gap_target = request.route->event_gap_target;
+  cost.gap_sensitive = event_gap_target.count() > 0 &&
+                       ToMillis(event_gap_target) <
+                           MaxEventGapMs(engine, estimate, latency_ratio);
   if (cost.gap_sensitive) {
     cost.cost_ms +=
-        kMissedGapCostMs * MissedGapProbability(pending_tokens, engine);
+        kMissedGapCostMs * MissedGapProbability(pending_tokens, engine) +
+        kGapSensitivePrefillCostMs * cost.prefill_share;
   }
   // Counts only the streams that would meet their target without this prompt.
   cost.interference_ms =
