--- a/test/routing/gap_sensitive_streams_avoid_long_prompts_test.cc
+++ b/test/routing/gap_sensitive_streams_avoid_long_prompts_test.cc
@@ -22,7 +22,7 @@
   const LoadClass loads[] = {
       {"question", 50, 730, 290, 1},
       {"tag", 170, 1830, 20, 1},
-      {"draft", 106, 8400, 380, 2.7},
+      {"draft", 106, 12000, 380, 2.7, 1600},
   };
   const FewSlotsKind kind{{"uneven", kFewSlots, 62, 3.27, 0.0823, 125, 10},
                           kGapTarget};
--- a/test/support/few_slots_site.cc
+++ b/test/support/few_slots_site.cc
@@ -94,8 +94,19 @@
 void FewSlotsSite::Arrive(const LoadClass& load, Time now) {
   const uint32_t mean = load.mean_output_tokens;
   const auto spread = static_cast<uint32_t>(NextRandom(m_random) % mean);
-  m_waiting.push_back({NextRandom(m_random) % m_routers.size(), &load,
-                       std::max(1U, mean / 2 + spread), now, now, ++m_tickets});
+  m_waiting.push_back({NextRandom(m_random) % m_routers.size(),
+                       &load,
+                       std::max(1U, mean / 2 + spread),
+                       now,
+                       now,
+                       ++m_tickets,
+                       {}});
+  if (load.shared_parts > 0) {
+    const uint32_t half = load.prompt_tokens / 2;
+    m_waiting.back().parts = {
+        {1 + NextRandom(m_random) % load.shared_parts, half},
+        {NextRandom(m_random), half}};
+  }
   ++m_scores[load.route].arrived;
 }
 
@@ -107,6 +118,7 @@
     Router& router = *m_routers[waiting.router];
     AttemptRequest request =
         RequestOn(router, waiting.load->route, waiting.load->prompt_tokens);
+    request.parts = waiting.parts;
     request.waited = now - waiting.arrived;
     request.time_left = request.route->timeout - request.waited;
     request.ticket = waiting.ticket;
@@ -132,7 +144,10 @@
 
 void FewSlotsSite::SendDigests(Time now) {
   std::map<UpstreamName, UpstreamLoad> total;
+  std::vector<CachedPart> parts;
   for (const auto& router : m_routers) {
+    const PeerDigest own = router->BuildDigest(false, false, now);
+    parts.insert(parts.end(), own.cached_parts.begin(), own.cached_parts.end());
     for (const UpstreamState* upstream : router->AllUpstreams()) {
       AddLoad(total[upstream->record.id], upstream->local_load);
     }
@@ -144,6 +159,7 @@
     digest.scope = DigestScope::kAll;
     digest.sequence = ++m_sequence;
     digest.serving = m_serving;
+    digest.cached_parts = parts;
     std::erase(digest.serving, m_serving[i]);
     for (const UpstreamState* upstream : m_routers[i]->AllUpstreams()) {
       UpstreamLoad others = total[upstream->record.id];
--- a/test/support/few_slots_site.h
+++ b/test/support/few_slots_site.h
@@ -28,6 +28,9 @@
   uint32_t prompt_tokens = 0;
   uint32_t mean_output_tokens = 0;
   double burst = 1;
+  // Different shared parts of prompts, of half of the tokens each; 0: prompts
+  // share nothing.
+  uint32_t shared_parts = 0;
 };
 
 // Of all requests of a route that arrived during or shortly after the burst.
@@ -67,6 +70,7 @@
     Time arrived;
     Time next_poll;
     uint64_t ticket = 0;
+    std::vector<PromptPart> parts;
   };
 
   double Exponential();
