--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -22,6 +22,7 @@
 #include "gateway/duty_runner.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_context.h"
+#include "gateway/isolation_log.h"
 #include "gateway/origin_log.h"
 #include "gateway/peer_attempt.h"
 #include "gateway/peer_exchange.h"
@@ -497,6 +498,7 @@
                                    now);
       }
       m_router.Tick(now);
+      LogIsolationChanges(m_logged_isolation, m_router, m_log, now);
       m_pool.CloseIdle();
       if (now - m_estimates_logged_at >= kEstimateLogInterval) {
         m_estimates_logged_at = now;
@@ -655,6 +657,7 @@
       FileTime();
   Time m_file_checked_at;
   Time m_estimates_logged_at;
+  IsolationLog m_logged_isolation;
   const WireCodec m_codec;
   const StoreCodec m_store_codec;
   const std::unique_ptr<Store> m_store;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -77,6 +77,12 @@
       }
     }
   }
+  for (const auto& [service, isolated] : router.Isolated()) {
+    out += fmt::format(
+        "pomeloring_isolated_engines{{service=\"{0}\"}} {1}\n"
+        "pomeloring_gap_sensitive_streams{{service=\"{0}\"}} {2:.0f}\n",
+        service.value, isolated.count, isolated.load.sensitive_streams);
+  }
   const auto config = router.Config();
   out += fmt::format(
       "pomeloring_config_version {}\npomeloring_newest_config_version {}\n"
--- a/src/isolation/stream_isolation.cc
+++ b/src/isolation/stream_isolation.cc
@@ -53,6 +53,7 @@
                                       std::exp(-elapsed_ms / kDecayTimeMs);
   isolated.wanted = std::max(wanted, decayed);
   isolated.updated_at = now;
+  isolated.load = load;
   const auto max = static_cast<size_t>(kMaxIsolatedFraction *
                                        static_cast<double>(load.engines));
   isolated.count =
--- a/src/isolation/stream_isolation.h
+++ b/src/isolation/stream_isolation.h
@@ -27,6 +27,7 @@
   double wanted = 0;  // Rises at once and falls slowly, so that it is stable.
   Time updated_at;
   size_t count = 0;
+  IsolationLoad load;  // That `count` was computed from.
 };
 
 // Updates how many engines are isolated. All instances arrive at nearly the
