--- a/test/scaling/fleet_follows_the_load_test.cc
+++ b/test/scaling/fleet_follows_the_load_test.cc
@@ -158,6 +158,25 @@
   }
 }
 
+// Instances and upstreams that start together: the holder of the duty sees the
+// initial fleet register over some seconds.
+TEST_CASE("Upstreams that register after the first plan are no additions") {
+  ScaledService complete(8);
+  complete.demand = Load(1);
+  ScaledService growing(3);
+  growing.demand = Load(1);
+  for (int i = 1; i <= 5; ++i) {
+    growing.RunUntil(0.6 * i);
+    for (const char* name : {"d0", "d1", "d2"}) {
+      ++growing.serving[{{name}, kRegular}];
+    }
+  }
+  complete.RunUntil(90);
+  growing.RunUntil(90);
+  CHECK(growing.Serving() <= complete.Serving());
+  CHECK(growing.target.total == complete.target.total);
+}
+
 TEST_CASE("A new holder without the state harms nothing") {
   for (const double at : {2.0, 6.5, 15.0, 30.0}) {
     CAPTURE(at);
