The initial fleet that registers late is not an addition of the operator's

Cause: the holder plans as soon as it has the duty; upstreams that registered after its first plan shifted the target by their number for good. Changes count as the operator's only after the regular number was stable for a start-up time.

--- a/src/gateway/scaling_records.cc
+++ b/src/gateway/scaling_records.cc
@@ -146,6 +146,7 @@
       entry.add_means(
           static_cast<float>(bucket.sum / std::max(1U, bucket.samples)));
     }
+    entry.set_is_fleet_complete(state.is_fleet_complete);
     if (state.scaled_in_at) {
       entry.set_scaled_in_age_ms(WholeMillis(now - *state.scaled_in_at));
     }
@@ -179,6 +180,7 @@
       state.window.buckets.push_back(
           {CheckedNeed(entry.peaks(i)), CheckedNeed(entry.means(i)), 1});
     }
+    state.is_fleet_complete = entry.is_fleet_complete();
     if (entry.has_scaled_in_age_ms()) {
       state.scaled_in_at = now - FromMillis(entry.scaled_in_age_ms());
     }
--- a/src/scaling/scaling_plan.cc
+++ b/src/scaling/scaling_plan.cc
@@ -113,7 +113,9 @@
   const bool is_own =
       IsWithin(known.lowered_at, planner.startup, planner.now) ||
       IsWithin(known.raised_at, planner.startup, planner.now);
-  if (change != 0 && !is_own && subject.kind == UpstreamKind::kRegular) {
+  if (change != 0 && !planner.state.is_fleet_complete) {
+    planner.state.fleet_changed_at = planner.now;
+  } else if (change != 0 && !is_own && subject.kind == UpstreamKind::kRegular) {
     planner.state.operator_changes[subject.domain] += change;
     planner.state.operator_changed_at[subject.domain] = planner.now;
   }
@@ -140,7 +142,19 @@
          change != planner.state.operator_changes.end() && change->second < 0;
 }
 
+// Instances and upstreams may start together, and a holder of the duty sees
+// the fleet grow while it registers.
+void CheckFleetComplete(Planner& planner) {
+  ScalingState& state = planner.state;
+  if (!state.fleet_changed_at) {
+    state.fleet_changed_at = planner.now;
+  }
+  state.is_fleet_complete |=
+      planner.now - *state.fleet_changed_at >= planner.startup;
+}
+
 void CollectDomains(Planner& planner) {
+  CheckFleetComplete(planner);
   // All upstreams of a domain may have been taken away.
   for (const auto& [subject, known] : planner.state.subjects) {
     planner.upstreams.try_emplace(subject.domain);
--- a/src/scaling/scaling_plan.h
+++ b/src/scaling/scaling_plan.h
@@ -110,6 +110,10 @@
   // domain: they shift the target.
   std::map<FailureDomain, int32_t> operator_changes;
   std::map<FailureDomain, Time> operator_changed_at;
+  // Whether the initial fleet has registered: its number had not changed for
+  // a start-up time. Before, a change is not the operator's.
+  bool is_fleet_complete = false;
+  std::optional<Time> fleet_changed_at;  // While it is not complete.
   std::optional<Time> scaled_in_at;
   std::optional<Time> dry_until;
   // Highest target of the hold time.
