Instances share the observed speeds and outcomes of engines

Setting share_speeds. Each instance sends the ratio of observed to expected durations and the outcomes of attempts by upstream; placement and ejection use the pooled values. Without it, nothing is measured, sent or decided differently.

--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -151,6 +151,14 @@
     entry.set_waiting(backlog.waiting);
     entry.set_refused(backlog.refused);
   }
+  for (const SpeedObservation& speed : digest.speeds) {
+    wire::SpeedObservation& entry = *out.add_speeds();
+    entry.set_upstream(speed.upstream);
+    entry.set_weight(speed.weight);
+    entry.set_log_ratio(speed.log_ratio);
+    entry.set_served(speed.served);
+    entry.set_failed(speed.failed);
+  }
   return out.SerializeAsString();
 }
 
@@ -224,6 +232,11 @@
   for (const wire::ServiceBacklog& entry : in.backlogs()) {
     digest.backlogs[{entry.service()}] = {entry.waiting(), entry.refused()};
   }
+  for (const wire::SpeedObservation& entry : in.speeds()) {
+    digest.speeds.push_back({entry.upstream(), entry.weight(),
+                             entry.log_ratio(), entry.served(),
+                             entry.failed()});
+  }
   return digest;
 }
 
--- a/src/routing/peer_digest.cc
+++ b/src/routing/peer_digest.cc
@@ -27,6 +27,7 @@
                         loads.begin() + static_cast<long>(end));
     pieces.push_back(digest);
     digest.cached_parts.clear();
+    digest.speeds.clear();
     digest.notices.clear();
     digest.trait_notices.clear();
     digest.changed_loads_only = true;
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -13,6 +13,7 @@
 #include "routing/request_quarantine.h"
 #include "routing/service_backlog.h"
 #include "routing/upstream_state.h"
+#include "speeds/upstream_speed.h"
 
 namespace pomeloring {
 
@@ -27,8 +28,9 @@
 uint32_t ShortHash(const InstanceName& name);
 uint32_t ShortUpstreamHash(const UpstreamName& name);
 
-// A digest holds the complete state of its sender except for `cached_parts`,
-// which has only the parts added since the previous digest, and for `loads` if
+// A digest holds the complete state of its sender except for `cached_parts` and
+// `speeds`, which have only what was added since the previous digest, and for
+// `loads` if
 // `changed_loads_only` is set.
 struct PeerDigest {
   InstanceName sender;
@@ -71,6 +73,8 @@
   DutyNotice duties;
   // Of the same instances as `loads`, always whole.
   ServiceBacklogs backlogs;
+  // Only where speeds are shared.
+  std::vector<SpeedObservation> speeds;
 };
 
 // Splits a digest with many loads into several that fit into a datagram each.
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -44,6 +44,12 @@
 // most likely is not established.
 constexpr double kPeerPathCostMs = 15;
 constexpr double kNoPathCostMs = 300;
+// Cost of a request that its upstream fails. A second attempt is often too late
+// or not allowed; and with many idle engines, even a few failures in a hundred
+// have to outweigh the random part of their costs.
+constexpr double kFailedRequestCostMs = 2000;
+// An upstream that fails more of its requests is no preferred one.
+constexpr double kMaxHomeFailureRate = 0.1;
 // Approximate duration of a request to a plain service.
 constexpr double kPlainRequestMs = 15;
 // If the expected latency exceeds this fraction of the time left, too little is
@@ -122,6 +128,34 @@
   uint32_t home_tokens = 0;
 };
 
+// Rendezvous hashing. Where speeds are known, an upstream is preferred in
+// proportion to its speed: u^f is the highest value with a probability that is
+// proportional to 1 / f.
+uint64_t RendezvousWeight(const UpstreamState& upstream, uint64_t part) {
+  uint64_t seed = part ^ upstream.name_hash;
+  const uint64_t weight = NextRandom(seed);
+  if (!upstream.shared_speed || upstream.shared_speed->home_factor == 1) {
+    return weight;
+  }
+  // The highest value that 64 bits hold.
+  constexpr double kMaxWeight = 0x1.fffffffffffffp63;
+  return static_cast<uint64_t>(std::min(
+      kMaxWeight, 0x1p64 * std::pow(static_cast<double>(weight) * 0x1p-64,
+                                    upstream.shared_speed->home_factor)));
+}
+
+// Requests avoid an upstream that fails a part of them, whatever it has cached.
+bool FailsOften(const UpstreamState& upstream) {
+  return upstream.shared_speed &&
+         upstream.shared_speed->failure_rate > kMaxHomeFailureRate;
+}
+
+double FailureCostMs(const UpstreamState& upstream) {
+  return upstream.shared_speed
+             ? kFailedRequestCostMs * upstream.shared_speed->failure_rate
+             : 0;
+}
+
 // Returns the upstream that all instances prefer for prompts with the shared
 // parts of this one, whether they know who has cached them or not: without it,
 // many upstreams would prefill the same parts at once before the digests tell.
@@ -134,10 +168,9 @@
   const UpstreamState* home = nullptr;
   uint64_t home_weight = 0;
   for (const UpstreamState* upstream : candidates) {
-    uint64_t seed = part ^ upstream->name_hash;
-    const uint64_t weight = NextRandom(seed);
+    const uint64_t weight = RendezvousWeight(*upstream, part);
     if ((home == nullptr || weight > home_weight) &&
-        !(avoids_isolated && upstream->is_isolated) &&
+        !(avoids_isolated && upstream->is_isolated) && !FailsOften(*upstream) &&
         !upstream->backpressure.limit && IsUsable(*upstream, request, now)) {
       home = upstream;
       home_weight = weight;
@@ -187,7 +220,7 @@
                       const EngineEstimate& estimate,
                       const UpstreamLoad& load,
                       Cost& cost) {
-  const double speed = upstream.health.latency_ratio;
+  const double speed = SpeedOf(upstream);
   const double target_ms = ToMillis(request.service->min_event_gap_target);
   const double event_ms =
       speed * engine.tokens_per_event *
@@ -221,7 +254,7 @@
   const UpstreamLoad load = TotalLoad(upstream);
   const uint32_t cached =
       std::min(CachedTokens(upstream, request.parts), request.prompt_tokens);
-  const double latency_ratio = upstream.health.latency_ratio;
+  const double latency_ratio = SpeedOf(upstream);
   const double ms_per_token = estimate.prefill_ms_per_token * latency_ratio;
   const auto pending_tokens = static_cast<double>(PendingPrefillTokens(load));
   Cost cost;
@@ -325,7 +358,7 @@
   if (load.running >= slots) {
     cost.latency_ms = kPlainRequestMs * (load.running - slots + 1) / slots;
   }
-  cost.latency_ms += kPlainRequestMs * upstream.health.latency_ratio;
+  cost.latency_ms += kPlainRequestMs * SpeedOf(upstream);
   // Above half of the slots, another failure domain is better than queueing.
   cost.cost_ms =
       cost.latency_ms + 2 * kCrossDomainCostMs * load.running / slots;
@@ -449,7 +482,7 @@
     Cost cost =
         engine ? CostAtEngine(request, *engine, *upstream, estimate, shared)
                : CostAtPlainService(*upstream);
-    cost.cost_ms += PathCostMs(*upstream);
+    cost.cost_ms += PathCostMs(*upstream) + FailureCostMs(*upstream);
     total_share += cost.prefill_share;
     ++usable;
     if (request.slots != nullptr &&
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -150,6 +150,9 @@
     m_removal_deadlines.erase(name);
     const bool is_other_process =
         state && !IsSameProcess(state->record, *record);
+    if (is_other_process) {
+      ForgetSpeed(*state);
+    }
     if (!state || is_other_process) {
       state = FindOrMakeState(*record, now);
     }
@@ -167,6 +170,9 @@
     if (state && is_gone && IsInForce(state->backpressure, now)) {
       m_departed[name] = {state, now};
     }
+    if (state && is_gone) {
+      ForgetSpeed(*state);
+    }
     return is_gone;
   });
   m_by_service.clear();
@@ -179,6 +185,7 @@
     });
   }
   m_has_pending_changes |= !changed.empty();
+  IndexSpeeds();
   UpdateVersions(now);
 }
 
@@ -361,6 +368,7 @@
   RecordStart(attempt->upstream->backpressure, now);
   const UpstreamLoad load_before = TotalLoad(*attempt->upstream);
   attempt->no_prefill_ahead = PendingPrefillTokens(load_before) == 0;
+  attempt->had_free_slot = load_before.running < attempt->batch_slots;
   UpstreamLoad& local_load = attempt->upstream->local_load;
   ++local_load.running;
   local_load.pending_prefill_tokens[attempt->placement.rank] +=
@@ -403,11 +411,14 @@
   if (attempt.has_first_event) {
     if (attempt.tokens_per_event > 0 && count > 0) {
       const UpstreamLoad load = TotalLoad(*attempt.upstream);
-      RecordTokenTime(
-          m_engines[attempt.service],
-          ToMillis(gap) / static_cast<double>(count * attempt.tokens_per_event),
+      const double fraction =
           std::min(1.0, static_cast<double>(load.running) /
-                            std::max(1U, attempt.batch_slots)));
+                            std::max(1U, attempt.batch_slots));
+      const double token_ms =
+          ToMillis(gap) / static_cast<double>(count * attempt.tokens_per_event);
+      RecordTokenTime(m_engines[attempt.service],
+                      ShareTokenTime(attempt, token_ms, fraction, now),
+                      fraction);
     }
     return;
   }
@@ -417,10 +428,13 @@
   const Duration elapsed = now - attempt.started;
   if (attempt.no_prefill_ahead) {
     RecordFirstEvent(m_engines[attempt.service],
-                     attempt.placement.pending_prefill_tokens, elapsed, now);
+                     attempt.placement.pending_prefill_tokens,
+                     ShareFirstEvent(attempt, elapsed, now), now);
+  }
+  if (!attempt.upstream->shared_speed) {
+    RecordLatency(attempt.upstream->health, attempt.placement.expected_latency,
+                  elapsed);
   }
-  RecordLatency(attempt.upstream->health, attempt.placement.expected_latency,
-                elapsed);
   MarkLoadChanged(attempt);
 }
 
@@ -443,6 +457,7 @@
     RecordAnswer(attempt, now);
   }
   RecordUpstreamOutcome(attempt.upstream->health, outcome, 0, now);
+  ShareOutcome(attempt, outcome, now);
   MarkLoadChanged(attempt);
 }
 
@@ -692,6 +707,7 @@
   }
   DivideLimits(now);
   UpdateSlots(now);
+  RefreshSpeeds(now);
   UpdateIsolation(now);
   UpdatePeerPaths(now);
   UpdateVersions(now);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -27,6 +27,7 @@
 #include "routing/stream_origins.h"
 #include "routing/upstream_state.h"
 #include "routing/upstream_table.h"
+#include "speeds/upstream_speed.h"
 
 namespace pomeloring {
 
@@ -62,6 +63,7 @@
   Time started;
   // No prefill was pending at the upstream when the attempt started.
   bool no_prefill_ahead = false;
+  bool had_free_slot = false;  // At an engine, as far as known.
   // Tells whether upstreams still exit under a trait; see AssessRequest().
   bool is_trial = false;
   bool has_first_event = false;
@@ -103,6 +105,20 @@
 
 using CachedPart = std::pair<UpstreamName, uint64_t>;
 
+// An upstream has become slow, or is slow no more.
+struct SpeedChange {
+  UpstreamName upstream;
+  double factor = 1;  // See SpeedFactorOf().
+  double weight = 0;  // Of the observations that it rests on.
+  double failure_rate = 0;
+  Duration age{0};  // Of the newest observation.
+};
+
+struct SpeedChanges {
+  std::vector<SpeedChange> noted;  // The first few.
+  size_t count = 0;                // Of all.
+};
+
 struct PeerState {
   PeerDigest digest;  // The last one, without loads, parts and limits.
   // Upstreams that have an entry for this peer in `peer_loads`.
@@ -296,6 +312,9 @@
   const std::map<ServiceName, IsolatedEngines>& Isolated() const {
     return m_isolated;
   }
+  // Returns the upstreams that have become slow, or are no more, since the last
+  // call.
+  SpeedChanges TakeSpeedChanges();
 
  private:
   struct DepartedUpstream {
@@ -303,6 +322,13 @@
     Time departed_at;
   };
 
+  // What instances share of the upstreams of one service.
+  struct ServiceSpeeds {
+    SpeedPool pool;
+    EstimateBias first_event_bias;
+    EstimateBias token_time_bias;
+  };
+
   // Returns the state of the process that the attempt was sent to.
   UpstreamState& CurrentState(const PlacedAttempt& attempt) const;
   // Notices from a position that the store was restored from an older copy.
@@ -351,6 +377,41 @@
   // Updates which engines are isolated.
   void UpdateIsolation(Time now);
   bool IsolatesStreams(const RoutedService& service) const;
+  // Whether instances share the speeds of the service's upstreams. While they
+  // do not, the functions below change nothing.
+  bool SharesSpeeds(const ServiceName& name) const;
+  // Record and queue the time to a first event without prefill ahead, and the
+  // time of a token. Return what the mean upstream would have taken, for the
+  // service's estimate.
+  Duration ShareFirstEvent(const PlacedAttempt& attempt,
+                           Duration elapsed,
+                           Time now);
+  double ShareTokenTime(const PlacedAttempt& attempt,
+                        double token_ms,
+                        double fraction,
+                        Time now);
+  void ShareOutcome(const PlacedAttempt& attempt,
+                    UpstreamOutcome outcome,
+                    Time now);
+  void ShareDuration(const PlacedAttempt& attempt,
+                     double weight,
+                     EstimateBias& bias,
+                     double observed_ms,
+                     double expected_ms,
+                     Time now);
+  void ShareObservation(const PlacedAttempt& attempt,
+                        const SpeedObservation& observation,
+                        Time now);
+  std::vector<SpeedObservation> TakeSpeedsToSend(Time now);
+  void ApplySpeeds(const PeerDigest& digest, Time now);
+  void IndexSpeeds();
+  // Discards what was observed of a process that has ended.
+  void ForgetSpeed(const UpstreamState& ended);
+  // Updates `shared_speed` of all upstreams, if that was not done just now.
+  void RefreshSpeeds(Time now);
+  void NoteSpeedChange(const UpstreamState& upstream,
+                       const SharedSpeed& shared,
+                       Time now);
   void RecordSlotUse(const AttemptRequest& request, Time now);
   void RecordSlotTime(const PlacedAttempt& attempt, Time now);
   // Divides the upstreams' limits among the instances that serve now.
@@ -393,6 +454,14 @@
   // relays, and to the instances that this one relays for.
   std::deque<CachedPart> m_parts_to_send;
   std::deque<CachedPart> m_parts_to_relay;
+  // Of services whose speeds are shared.
+  std::map<ServiceName, ServiceSpeeds> m_speeds;
+  std::unordered_map<uint32_t, UpstreamState*> m_by_speed_key;
+  // As for the parts.
+  SpeedQueue m_speeds_to_send;
+  SpeedQueue m_speeds_to_relay;
+  Time m_speeds_refreshed_at;
+  SpeedChanges m_speed_changes;
   // Upstreams whose local load has changed since the last digest.
   std::set<UpstreamName> m_changed_loads;
   Time m_last_full_digest;
--- a/src/routing/router_isolation.cc
+++ b/src/routing/router_isolation.cc
@@ -26,7 +26,9 @@
     std::vector<RankedEngine> engines;
     for (const UpstreamState* state : states) {
       load.sensitive_streams += TotalLoad(*state).gap_sensitive;
-      engines.push_back({state->name_hash, 1});
+      engines.push_back({state->name_hash, state->shared_speed
+                                               ? state->shared_speed->factor
+                                               : 1});
     }
     IsolatedEngines& isolated = m_isolated[name];
     UpdateIsolatedEngines(isolated, load, now);
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -118,7 +118,9 @@
   m_changed_loads.clear();
   digest.backlogs = LocalBacklogs(now);
   digest.cached_parts = TakeFront(m_parts_to_send);
-  m_has_pending_changes = !m_parts_to_send.empty();
+  digest.speeds = TakeSpeedsToSend(now);
+  m_has_pending_changes =
+      !m_parts_to_send.empty() || !m_speeds_to_send.upstreams.empty();
   return digest;
 }
 
@@ -184,13 +186,16 @@
   }
   m_changed_group_loads.clear();
   digest.cached_parts = TakeFront(m_parts_to_send);
-  m_has_pending_changes = !m_parts_to_send.empty();
+  digest.speeds = TakeSpeedsToSend(now);
+  m_has_pending_changes =
+      !m_parts_to_send.empty() || !m_speeds_to_send.upstreams.empty();
   return digest;
 }
 
 std::vector<std::pair<InstanceName, PeerDigest>>
 Router::BuildRelayedDigests(bool leaving, bool reads_store, Time now) {
   const auto parts = TakeFront(m_parts_to_relay);
+  const auto speeds = TakeQueued(m_speeds_to_relay, now);
   const auto notices =
       TakeTraitNotices(m_relayed_trait_notices, m_quarantine, now);
   const std::set<uint32_t> serving = ServingPeerHashes(now);
@@ -213,6 +218,7 @@
     digest.serving.assign(serving.begin(), serving.end());
     digest.cut_off.assign(cut_off.begin(), cut_off.end());
     digest.cached_parts = parts;
+    digest.speeds = ObservationsFor(speeds, name);
     digest.backlogs = backlogs;
     SubtractBacklogs(digest.backlogs, peer.digest.backlogs);
     for (const auto& [state, total] : totals) {
@@ -227,7 +233,8 @@
     }
     digests.emplace_back(name, std::move(digest));
   }
-  m_has_pending_relay_changes = !m_parts_to_relay.empty();
+  m_has_pending_relay_changes =
+      !m_parts_to_relay.empty() || !m_speeds_to_relay.upstreams.empty();
   return digests;
 }
 
@@ -255,6 +262,7 @@
   peer.digest = digest;
   peer.digest.loads.clear();
   peer.digest.cached_parts.clear();
+  peer.digest.speeds.clear();
   peer.digest.notices.clear();
   peer.digest.exits.clear();
   peer.last_received = now;
@@ -275,6 +283,7 @@
     ApplyLoads(peer, digest, now);
   }
   ApplyParts(digest, now);
+  ApplySpeeds(digest, now);
   ApplyNotices(digest, now);
   ApplyExitNotices(digest, now);
   ApplyTraitNotices(digest, now);
--- a/src/routing/upstream_state.cc
+++ b/src/routing/upstream_state.cc
@@ -62,6 +62,11 @@
   return total;
 }
 
+double SpeedOf(const UpstreamState& upstream) {
+  return upstream.shared_speed ? upstream.shared_speed->factor
+                               : upstream.health.latency_ratio;
+}
+
 uint64_t PendingPrefillUpTo(const UpstreamLoad& load, size_t rank) {
   uint64_t tokens = 0;
   for (size_t i = 0; i <= std::min(rank, kUrgencyRanks - 1); ++i) {
@@ -169,26 +174,37 @@
 void EjectOutliers(std::span<UpstreamState* const> siblings, Time now) {
   std::vector<double> failures;
   std::vector<double> ratios;
+  std::vector<double> shared_failures;
   size_t ejected = 0;
   for (const UpstreamState* sibling : siblings) {
     failures.push_back(sibling->health.failure_rate);
-    ratios.push_back(sibling->health.latency_ratio);
+    ratios.push_back(SpeedOf(*sibling));
+    if (sibling->shared_speed) {
+      shared_failures.push_back(sibling->shared_speed->failure_rate);
+    }
     ejected += now < sibling->health.ejected_until ? 1 : 0;
   }
   const double median_failures = MedianOf(failures);
   const double median_ratio = MedianOf(ratios);
+  const double median_shared_failures = MedianOf(shared_failures);
   for (UpstreamState* sibling : siblings) {
     UpstreamHealth& health = sibling->health;
+    const bool is_failing_elsewhere =
+        sibling->shared_speed &&
+        sibling->shared_speed->attempts >= kMinSamples &&
+        sibling->shared_speed->failure_rate >
+            median_shared_failures + kFailureMargin;
     if (now < health.ejected_until || health.is_trial ||
-        health.samples < kMinSamples ||
+        (health.samples < kMinSamples && !is_failing_elsewhere) ||
         (ejected + 1) * kMinUpstreamsPerEjection > siblings.size()) {
       continue;
     }
     const bool is_failing =
+        is_failing_elsewhere ||
         health.failure_rate > median_failures + kFailureMargin ||
         health.consecutive_failures >= kMaxConsecutiveFailures;
-    const bool is_slow = health.latency_ratio >
-                         kMaxRelativeLatency * std::max(1.0, median_ratio);
+    const bool is_slow =
+        SpeedOf(*sibling) > kMaxRelativeLatency * std::max(1.0, median_ratio);
     if (is_failing || is_slow) {
       health.ejected_until = now + kEjectionTime;
       health.is_trial = true;
--- a/src/routing/upstream_state.h
+++ b/src/routing/upstream_state.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <unordered_map>
@@ -58,6 +59,15 @@
   Time last_byte_at;  // From this upstream, over any connection.
 };
 
+// What all instances have observed of an upstream; see speeds/upstream_speed.h.
+struct SharedSpeed {
+  double factor = 1;       // See SpeedFactorOf().
+  double home_factor = 1;  // The same, for the choice of preferred engines.
+  double failure_rate = 0;
+  double attempts = 0;  // That `failure_rate` rests on.
+  bool is_slow = false;
+};
+
 struct UpstreamState {
   UpstreamRecord record;
   uint64_t name_hash = 0;  // Of `record.id`.
@@ -73,6 +83,8 @@
   Time prefill_load_updated_at;
   std::map<InstanceName, UpstreamLoad> peer_loads;
   UpstreamHealth health;
+  // Only where speeds are shared; unknown until the first observation.
+  std::optional<SharedSpeed> shared_speed;
   DirectPath direct_path;
   // While `direct_path` is lost: whether a peer may reach the upstream.
   bool has_peer_path = false;
@@ -83,6 +95,10 @@
   std::unordered_map<uint64_t, Time> cached_parts;
 };
 
+// Returns how many times as long as expected the upstream takes, from what all
+// instances have observed or, while that is unknown, this instance alone.
+double SpeedOf(const UpstreamState& upstream);
+
 // Returns the pending prefill tokens of `rank` and all more urgent ranks.
 uint64_t PendingPrefillUpTo(const UpstreamLoad& load, size_t rank);
 // Returns the pending prefill tokens of all ranks.
--- a/test/support/relayed_fleet.cc
+++ b/test/support/relayed_fleet.cc
@@ -28,6 +28,12 @@
 }
 
 RelayedFleet MakeFleet(int size, int engines, Time now) {
+  return MakeFleet(size, [&](const RelayCandidate& candidate) {
+    return ReadyRouter(engines, now, candidate.name);
+  });
+}
+
+RelayedFleet MakeFleet(int size, const MakeRouter& make_router) {
   RelayedFleet fleet;
   std::vector<RelayCandidate> live;
   for (int i = 0; i < size; ++i) {
@@ -35,8 +41,7 @@
   }
   const auto relays = ChooseRelays(live);
   for (const RelayCandidate& candidate : live) {
-    FleetInstance instance{
-        candidate, ReadyRouter(engines, now, candidate.name), {}};
+    FleetInstance instance{candidate, make_router(candidate), {}};
     const bool is_chosen = std::any_of(
         relays.begin(), relays.end(),
         [&](const auto& relay) { return relay.name == candidate.name; });
--- a/test/support/relayed_fleet.h
+++ b/test/support/relayed_fleet.h
@@ -4,6 +4,7 @@
 #ifndef POMELORING_TEST_SUPPORT_RELAYED_FLEET_H_
 #define POMELORING_TEST_SUPPORT_RELAYED_FLEET_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -26,6 +27,10 @@
 // Every eighth instance has a large capacity. Each has `engines` engines, as
 // ReadyRouter().
 RelayedFleet MakeFleet(int size, int engines, Time now);
+// With other routers.
+using MakeRouter =
+    std::function<std::unique_ptr<Router>(const RelayCandidate&)>;
+RelayedFleet MakeFleet(int size, const MakeRouter& make_router);
 
 // Digests that get lost: a share of all.
 struct DigestLoss {
