Instances share what they observe of first events

Each of 85 instances sees some observations a second. The sums of the regression are additive, so that digests carry them; receivers estimate from all.

--- a/src/routing/engine_estimate.cc
+++ b/src/routing/engine_estimate.cc
@@ -1,6 +1,7 @@
 #include "routing/engine_estimate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pomeloring {
 namespace {
@@ -63,6 +64,30 @@
   sums.tokens_ms *= factor;
 }
 
+FirstEventSums Combine(const FirstEventSums& a,
+                       const FirstEventSums& b,
+                       double sign) {
+  return {a.weight + sign * b.weight, a.tokens + sign * b.tokens,
+          a.tokens_squared + sign * b.tokens_squared, a.ms + sign * b.ms,
+          a.tokens_ms + sign * b.tokens_ms};
+}
+
+void Estimate(EngineEstimate& estimate) {
+  const FirstEventSums sums = Combine(estimate.sums, estimate.peer_sums, 1);
+  const double determinant =
+      sums.weight * sums.tokens_squared - sums.tokens * sums.tokens;
+  if (determinant <= 0) {
+    return;  // All prompts had the same length.
+  }
+  const double slope =
+      (sums.weight * sums.tokens_ms - sums.tokens * sums.ms) / determinant;
+  estimate.prefill_ms_per_token =
+      std::clamp(slope, kMinPrefillMsPerToken, kMaxPrefillMsPerToken);
+  estimate.first_event_delay_ms = std::clamp(
+      (sums.ms - estimate.prefill_ms_per_token * sums.tokens) / sums.weight,
+      kMinDelayMs, kMaxDelayMs);
+}
+
 void Smooth(double& mean, double value) {
   mean = mean == 0 ? value : mean + kRunSmoothing * (value - mean);
 }
@@ -136,18 +161,39 @@
                  observed_ms > expected_ms ? kSlowObservationWeight : 1);
   ++estimate.observations;
   estimate.updated_at = now;
-  const double determinant =
-      sums.weight * sums.tokens_squared - sums.tokens * sums.tokens;
-  if (determinant <= 0) {
-    return;  // All prompts had the same length.
+  Estimate(estimate);
+}
+
+bool IsValid(const FirstEventSums& sums) {
+  const double all[] = {sums.weight, sums.tokens, sums.tokens_squared, sums.ms,
+                        sums.tokens_ms};
+  return std::all_of(std::begin(all), std::end(all),
+                     [](double sum) { return std::isfinite(sum) && sum >= 0; });
+}
+
+void AddFirstEvents(ServiceFirstEvents& total,
+                    const ServiceFirstEvents& first_events) {
+  for (const auto& [service, sums] : first_events) {
+    total[service] = Combine(total[service], sums, 1);
   }
-  const double slope =
-      (sums.weight * sums.tokens_ms - sums.tokens * sums.ms) / determinant;
-  estimate.prefill_ms_per_token =
-      std::clamp(slope, kMinPrefillMsPerToken, kMaxPrefillMsPerToken);
-  estimate.first_event_delay_ms = std::clamp(
-      (sums.ms - estimate.prefill_ms_per_token * sums.tokens) / sums.weight,
-      kMinDelayMs, kMaxDelayMs);
+}
+
+void SubtractFirstEvents(ServiceFirstEvents& total,
+                         const ServiceFirstEvents& first_events) {
+  for (const auto& [service, sums] : first_events) {
+    total[service] = Combine(total[service], sums, -1);
+  }
+}
+
+void ApplyPeerSums(EngineEstimate& estimate,
+                   const FirstEventSums& peer_sums,
+                   Time now) {
+  if (peer_sums.weight <= 0) {
+    return;
+  }
+  estimate.peer_sums = peer_sums;
+  estimate.updated_at = now;
+  Estimate(estimate);
 }
 
 // A step of quantile regression on the slots in use.
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -9,6 +9,7 @@
 
 #include "core/ids.h"
 #include "duties/duty_notice.h"
+#include "routing/engine_estimate.h"
 #include "routing/exit_notice.h"
 #include "routing/request_quarantine.h"
 #include "routing/service_backlog.h"
@@ -73,6 +74,7 @@
   DutyNotice duties;
   // Of the same instances as `loads`, always whole.
   ServiceBacklogs backlogs;
+  ServiceFirstEvents first_events;
   // Only where speeds are shared.
   std::vector<SpeedObservation> speeds;
 };
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -711,6 +711,7 @@
   DivideLimits(now);
   UpdateSlots(now);
   RefreshSpeeds(now);
+  UpdateEstimates(now);
   UpdateIsolation(now);
   UpdatePeerPaths(now);
   UpdateVersions(now);
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -117,6 +117,7 @@
   }
   m_changed_loads.clear();
   digest.backlogs = LocalBacklogs(now);
+  digest.first_events = LocalFirstEvents();
   digest.cached_parts = TakeFront(m_parts_to_send);
   digest.speeds = TakeSpeedsToSend(now);
   m_has_pending_changes =
@@ -159,10 +160,12 @@
       digest.changed_loads_only ? m_last_full_group_digest : now;
   std::set<InstanceName> group;
   digest.backlogs = LocalBacklogs(now);
+  digest.first_events = LocalFirstEvents();
   for (const auto& [name, peer] : m_peers) {
     if (IsRelayedHere(peer, now)) {
       group.insert(name);
       AddBacklogs(digest.backlogs, peer.digest.backlogs);
+      AddFirstEvents(digest.first_events, peer.digest.first_events);
       if (peer.digest.ready) {
         digest.serving.push_back(ShortHash(name));
       }
@@ -201,6 +204,8 @@
   const std::set<uint32_t> serving = ServingPeerHashes(now);
   const std::set<uint32_t> cut_off = CutOffPeerHashes(now);
   const ServiceBacklogs backlogs = TotalBacklogs(now);
+  ServiceFirstEvents first_events = LocalFirstEvents();
+  AddFirstEvents(first_events, PeerFirstEvents());
   std::vector<std::pair<UpstreamState*, UpstreamLoad>> totals;
   for (const auto& [name, state] : m_states) {
     DecayPrefillLoads(*state, now);
@@ -221,6 +226,8 @@
     digest.speeds = ObservationsFor(speeds, name);
     digest.backlogs = backlogs;
     SubtractBacklogs(digest.backlogs, peer.digest.backlogs);
+    digest.first_events = first_events;
+    SubtractFirstEvents(digest.first_events, peer.digest.first_events);
     for (const auto& [state, total] : totals) {
       UpstreamLoad load = total;
       if (const auto peer_load = state->peer_loads.find(name);
@@ -448,6 +455,7 @@
   }
   found->second.counted_upstreams.clear();
   found->second.digest.backlogs.clear();
+  found->second.digest.first_events.clear();
 }
 
 bool Router::IsConfigBehind(const PeerDigest& digest) const {
--- a/src/routing/router_speeds.cc
+++ b/src/routing/router_speeds.cc
@@ -223,6 +223,35 @@
   }
 }
 
+ServiceFirstEvents Router::LocalFirstEvents() const {
+  ServiceFirstEvents first_events;
+  for (const auto& [service, estimate] : m_engines) {
+    if (SharesSpeeds(service) && estimate.observations > 0) {
+      first_events[service] = estimate.sums;
+    }
+  }
+  return first_events;
+}
+
+ServiceFirstEvents Router::PeerFirstEvents() const {
+  ServiceFirstEvents first_events;
+  for (const auto& [name, peer] : m_peers) {
+    AddFirstEvents(first_events, peer.digest.first_events);
+  }
+  return first_events;
+}
+
+void Router::UpdateEstimates(Time now) {
+  if (!m_settings.features.shares_speeds) {
+    return;
+  }
+  for (const auto& [service, sums] : PeerFirstEvents()) {
+    if (SharesSpeeds(service)) {
+      ApplyPeerSums(m_engines[service], sums, now);
+    }
+  }
+}
+
 void Router::NoteSpeedChange(const UpstreamState& upstream,
                              const SharedSpeed& shared,
                              Time now) {
