--- a/src/routing/engine_estimate.cc
+++ b/src/routing/engine_estimate.cc
@@ -73,7 +73,8 @@
 }
 
 void Estimate(EngineEstimate& estimate) {
-  const FirstEventSums sums = Combine(estimate.sums, estimate.peer_sums, 1);
+  const FirstEventSums sums = Combine(
+      Combine(estimate.sums, estimate.initial_sums, 1), estimate.peer_sums, 1);
   const double determinant =
       sums.weight * sums.tokens_squared - sums.tokens * sums.tokens;
   if (determinant <= 0) {
@@ -145,13 +146,16 @@
   FirstEventSums& sums = estimate.sums;
   if (estimate.observations == 0) {
     for (const double initial_tokens : kInitialTokens) {
-      AddObservation(sums, initial_tokens,
+      AddObservation(estimate.initial_sums, initial_tokens,
                      ExpectedFirstEventMs(estimate, 0, initial_tokens));
     }
   }
   const double expected_ms = ExpectedFirstEventMs(estimate, 0, tokens);
   const bool is_initial = estimate.observations < kInitialObservations;
-  Decay(sums, is_initial ? kInitialRegressionMemory : kRegressionMemory);
+  const double memory =
+      is_initial ? kInitialRegressionMemory : kRegressionMemory;
+  Decay(sums, memory);
+  Decay(estimate.initial_sums, memory);
   const double max_deviation =
       is_initial ? kMaxInitialDeviation : kMaxDeviation;
   const double observed_ms =
--- a/src/routing/engine_estimate.h
+++ b/src/routing/engine_estimate.h
@@ -45,7 +45,8 @@
   double full_batch_step_ms = 6;
   double mean_attempt_ms = 2000;  // Duration of a complete attempt.
   FirstEventSums sums;
-  FirstEventSums peer_sums;  // Of other instances, where they are shared.
+  FirstEventSums initial_sums;  // Of the initial values; they decay alike.
+  FirstEventSums peer_sums;     // Of other instances, where they are shared.
   // By route name, for all streaming routes with attempts.
   std::map<std::string, RouteRuns> runs;
   uint64_t observations = 0;  // Of first events.
