Callbacks of the peer link release their channels before shutdown returns

gRPC destroys the queue of its callbacks together with the last channel. The callbacks still referred to their channel after they had left the gate that Shutdown() waits for, so that under load the last reference went on a thread that polls this very queue: "ref_counted.h:183 assertion failed: prior > 0" in grpc_cq_internal_unref(), called by that thread's grpc_completion_queue_next().

The new test fails without the change: a copy of a handler is held by a callback after the link has gone.

--- a/src/link/peer_link.cc
+++ b/src/link/peer_link.cc
@@ -92,7 +92,10 @@
 }
 
 // Counts the calls in flight, so that the link can wait for their callbacks
-// before the objects they use, and gRPC itself, are destroyed.
+// before the objects they use, and gRPC itself, are destroyed. A callback must
+// have released all that refers to a channel before it leaves: gRPC destroys
+// its completion queue with its last channel, which must not happen on a thread
+// that polls this queue, as those that run callbacks do.
 class CallGate {
  public:
   // Returns false once the gate is closed; the call must not start then.
@@ -135,8 +138,9 @@
   wire::ConfigurationState state;
 };
 
-// The connection to one other instance and the messages queued for it.
-class Peer : public std::enable_shared_from_this<Peer> {
+// The connection to one other instance and the messages queued for it. Exists
+// until all its calls have left the gate.
+class Peer {
  public:
   Peer(InstanceName self,
        std::string address,
@@ -177,7 +181,7 @@
     Start(call);
   }
 
-  void Fetch(const std::function<void(ConfigInForce)>& on_configuration) {
+  void Fetch() {
     if (!m_gate.Enter()) {
       return;
     }
@@ -191,11 +195,13 @@
     }
     stub->async()->FetchConfiguration(
         &call->context, &call->request, &call->state,
-        [this, call, stub, on_configuration](const grpc::Status& status) {
+        [this, call, stub](const grpc::Status& status) mutable {
           auto state = status.ok() ? Decode(call->state) : std::nullopt;
           if (state) {
-            on_configuration(std::move(*state));
+            m_handlers.on_configuration(std::move(*state));
           }
+          call.reset();
+          stub.reset();
           m_gate.Leave();
         });
   }
@@ -243,12 +249,14 @@
                                kDeliverTimeout);
     stub->async()->Deliver(
         &call->context, &call->batch, &call->received,
-        [self = shared_from_this(), call, stub](const grpc::Status& status) {
-          self->HandleDelivered(call, status.ok());
+        [this, held = call, stub](const grpc::Status& status) mutable {
+          HandleDelivered(held, status.ok());
           if (status.ok()) {
-            self->HandleReplies(call->received);
+            HandleReplies(held->received);
           }
-          self->m_gate.Leave();
+          held.reset();
+          stub.reset();
+          m_gate.Leave();
         });
   }
 
@@ -331,7 +339,7 @@
   }
 
   void Fetch(const std::string& address) override {
-    FindOrAddPeer(address)->Fetch(m_handlers.on_configuration);
+    FindOrAddPeer(address)->Fetch();
   }
 
   void Shutdown() override {
--- a/test/contract/peer_link_test.cc
+++ b/test/contract/peer_link_test.cc
@@ -1,6 +1,8 @@
 #include <doctest/doctest.h>
 
 #include <condition_variable>
+#include <future>
+#include <thread>
 
 #include "link/codec.h"
 #include "link/generated/pomeloring.pb.h"
@@ -179,6 +181,53 @@
   }
 }
 
+// A handler of which each copy takes long to release on the link's threads.
+class SlowToRelease {
+ public:
+  explicit SlowToRelease(std::promise<void>& called)
+      : m_called(&called), m_made_by(std::this_thread::get_id()) {}
+  SlowToRelease(const SlowToRelease&) = default;
+  SlowToRelease& operator=(const SlowToRelease&) = default;
+  ~SlowToRelease() {
+    if (std::this_thread::get_id() != m_made_by) {
+      std::this_thread::sleep_for(milliseconds(1500));
+    }
+  }
+  void operator()(const ConfigInForce&) const { m_called->set_value(); }
+  long Copies() const { return m_token.use_count(); }
+
+ private:
+  std::promise<void>* m_called;
+  std::thread::id m_made_by;
+  std::shared_ptr<int> m_token = std::make_shared<int>(0);
+};
+
+// What a callback refers to after the shutdown may be the last channel: gRPC
+// then destroys the completion queue on the thread that polls it, and aborts.
+TEST_CASE("callbacks refer to nothing of the link once it has shut down") {
+  const std::string address = ClosedAddress();
+  auto to = std::make_unique<LinkEndpoint>("to", address);
+  to->configuration.emplace();
+  to->configuration->revision = Revision{7};
+  to->configuration->text = R"({"services":[]})";
+  std::promise<void> called;
+  const SlowToRelease handler(called);
+  {
+    auto started =
+        StartPeerLink({"from"}, ClosedAddress(),
+                      {[](const InstanceName&, const std::vector<SlotMessage>&,
+                          HybridTime) { return SlotReplies(); },
+                       [] { return std::optional<ConfigInForce>(); }, handler});
+    auto link = std::get<std::unique_ptr<PeerLink>>(std::move(started));
+    link->Fetch(address);
+    REQUIRE(called.get_future().wait_for(kWaitTimeout) ==
+            std::future_status::ready);
+    to.reset();
+  }
+  CHECK(handler.Copies() == 1);
+  std::this_thread::sleep_for(milliseconds(100));
+}
+
 TEST_CASE("a fetched configuration equals the one that the peer has in force") {
   const std::string address = ClosedAddress();
   LinkEndpoint to("to", address);
