Tests of unreached upstreams reserve the address that refuses

gateway/peer_attempts_run_once failed once because another test listened on the closed address: of the four checks on the reply only the one for the signature held, which no gateway writes, so that it was the reply of another test's upstream. RefusingAddress() keeps the port bound without listening; all tests that expect a refusal use it.

--- a/test/contract/engine_orders_test.cc
+++ b/test/contract/engine_orders_test.cc
@@ -49,7 +49,7 @@
     ScriptedServer server({c.script});
     CHECK(Send(server.Address()).index() == c.outcome);
   }
-  CHECK(Send(ClosedAddress()).index() == kUnanswered);
+  CHECK(Send(RefusingAddress()).index() == kUnanswered);
 }
 
 TEST_CASE(
--- a/test/contract/platform_test.cc
+++ b/test/contract/platform_test.cc
@@ -71,7 +71,7 @@
     ScriptedServer server({c.script});
     CHECK(Append(server.Address()) == c.expected);
   }
-  CHECK(Append(ClosedAddress()) == AppendEffect::kNoEffect);
+  CHECK(Append(RefusingAddress()) == AppendEffect::kNoEffect);
 }
 
 TEST_CASE("an append request contains its topic and record") {
--- a/test/contract/upstream_test.cc
+++ b/test/contract/upstream_test.cc
@@ -133,7 +133,7 @@
     CHECK(result.outcome == c.outcome);
     CHECK(result.text == c.text);
   }
-  CHECK(RunModel(ClosedAddress()).outcome == kNotStarted);
+  CHECK(RunModel(RefusingAddress()).outcome == kNotStarted);
 }
 
 TEST_CASE("a stalled connection is replaced if the upstream is healthy") {
@@ -192,7 +192,7 @@
     ScriptedServer server({c.script});
     CHECK(RunPlain(server.Address()) == c.outcome);
   }
-  CHECK(RunPlain(ClosedAddress()) == kNotStarted);
+  CHECK(RunPlain(RefusingAddress()) == kNotStarted);
 }
 
 }  // namespace
--- a/test/gateway/caller_disconnect_stops_upstream_test.cc
+++ b/test/gateway/caller_disconnect_stops_upstream_test.cc
@@ -72,7 +72,7 @@
                             .peer_address = second_address,
                             .seeds = {first_address},
                             .on_request = [&] { hold.Pass(); }});
-  const GatewaySite first({{"u1", "plain", ClosedAddress()}}, {},
+  const GatewaySite first({{"u1", "plain", RefusingAddress()}}, {},
                           {.name = "gateway-1",
                            .peer_address = first_address,
                            .seeds = {second_address}});
--- a/test/gateway/cut_connections_are_no_exits_test.cc
+++ b/test/gateway/cut_connections_are_no_exits_test.cc
@@ -73,7 +73,7 @@
   const CutUpstreams cut;
   std::vector<SiteUpstream> closed = cut.listed;
   for (SiteUpstream& upstream : closed) {
-    upstream.address = ClosedAddress();
+    upstream.address = RefusingAddress();
   }
   for (const std::string& reply : RepeatAtFirst(cut.listed, closed)) {
     CHECK(reply.find("quarantined") == std::string::npos);
--- a/test/gateway/cut_instance_serves_through_peers_test.cc
+++ b/test/gateway/cut_instance_serves_through_peers_test.cc
@@ -123,7 +123,7 @@
 
 TEST_CASE("An instance whose connections are refused serves its callers") {
   Upstreams upstreams;
-  const CutPair pair(upstreams, {"u0", "u1", "u2", "u3"}, ClosedAddress());
+  const CutPair pair(upstreams, {"u0", "u1", "u2", "u3"}, RefusingAddress());
   CheckAllServed(upstreams, pair);
 }
 
@@ -143,7 +143,7 @@
 
 TEST_CASE("What no instance reaches is refused as not run") {
   Upstreams upstreams;
-  const std::string closed = ClosedAddress();
+  const std::string closed = RefusingAddress();
   for (SiteUpstream& upstream : upstreams.listed) {
     upstream.address = closed;
   }
--- a/test/gateway/duties_are_done_by_one_test.cc
+++ b/test/gateway/duties_are_done_by_one_test.cc
@@ -228,7 +228,7 @@
       }
     }
   }
-  const auto unreachable = platform::MakePlatformApi(ClosedAddress(), 50);
+  const auto unreachable = platform::MakePlatformApi(RefusingAddress(), 50);
   const auto result = RunCoroutine<ApiCallResult>([&] {
     return unreachable->ReportUsage(
         {{"a"}, 7, [] { return true; }, milliseconds{300}}, 1, {{{"t"}, 2}});
--- a/test/gateway/peer_attempts_run_once_test.cc
+++ b/test/gateway/peer_attempts_run_once_test.cc
@@ -26,7 +26,7 @@
 struct CutPair {
   CutPair(const std::string& service,
           const std::string& address,
-          const std::string& from_first = ClosedAddress())
+          const std::string& from_first = RefusingAddress())
       : second({{"u0", service, address}},
                {},
                {"gateway-2", second_address, {first_address}}),
@@ -73,11 +73,30 @@
   CHECK(upstream.requests == 1);
 }
 
+// An address that another test could listen on gave this caller the reply of an
+// upstream of that test.
+TEST_CASE(
+    "No server can take the address of the upstream that is not reached") {
+  const auto endpoint = ParseTcpAddress(RefusingAddress());
+  REQUIRE(endpoint);
+  asio::io_context context;
+  boost::system::error_code error;
+  tcp::acceptor other(context);
+  other.open(endpoint->protocol());
+  other.set_option(asio::socket_base::reuse_address(true));
+  other.bind(*endpoint, error);
+  CHECK(error == asio::error::address_in_use);
+  tcp::socket caller(context);
+  caller.connect(*endpoint, error);
+  CHECK(error == asio::error::connection_refused);
+}
+
 TEST_CASE("A failure of the upstream is passed on with its status and fields") {
   CountingUpstream upstream(
       {.bytes = SignedReply(500, "failed", "X-Detail: disk\r\n")});
   const CutPair pair("plain", upstream.server.Address());
   const std::string reply = pair.first.PostRequest("/stamp/1");
+  CAPTURE(reply);
   CHECK(reply.starts_with("HTTP/1.1 500"));
   CHECK(reply.find("X-Response-Seal: seal-1") != std::string::npos);
   CHECK(reply.find("X-Detail: disk") != std::string::npos);
--- a/test/gateway/requests_count_as_usage_once_test.cc
+++ b/test/gateway/requests_count_as_usage_once_test.cc
@@ -73,7 +73,7 @@
           {"u" + std::to_string(i), service, engines.back().Address()});
     }
     if (upstreams.empty()) {
-      upstreams.push_back({"u0", service, ClosedAddress()});
+      upstreams.push_back({"u0", service, RefusingAddress()});
     }
     const GatewaySite site(upstreams, {}, {.counts_usage = each.counts_usage});
     site.PostRequest(each.path, each.more_fields);
--- a/test/gateway/upstream_replies_are_forwarded_test.cc
+++ b/test/gateway/upstream_replies_are_forwarded_test.cc
@@ -125,10 +125,10 @@
 
 TEST_CASE("A request to an unreachable upstream is retried") {
   ScriptedServer upstream({{SignedReply(200, "answer")}});
-  const GatewaySite site(
-      {{"p1", "plain", ClosedAddress()}, {"p2", "plain", upstream.Address()}});
+  const GatewaySite site({{"p1", "plain", RefusingAddress()},
+                          {"p2", "plain", upstream.Address()}});
   CHECK(site.PostRequest("/stamp/1").starts_with("HTTP/1.1 200"));
-  const GatewaySite without({{"p1", "plain", ClosedAddress()}});
+  const GatewaySite without({{"p1", "plain", RefusingAddress()}});
   CHECK(without.PostRequest("/stamp/1").starts_with("HTTP/1.1 503"));
 }
 
--- a/test/support/scripted_server.cc
+++ b/test/support/scripted_server.cc
@@ -128,6 +128,18 @@
   return AddressOf(acceptor);
 }
 
+// A port that is bound by a socket that does not listen is refused, and is
+// given to no other socket.
+std::string RefusingAddress() {
+  static std::mutex mutex;
+  static asio::io_context context;
+  static std::list<tcp::socket> bound;
+  const std::lock_guard lock(mutex);
+  tcp::socket& socket = bound.emplace_back(context, tcp::v4());
+  socket.bind(AnyLoopbackPort());
+  return fmt::format("127.0.0.1:{}", socket.local_endpoint().port());
+}
+
 std::string HttpReplyText(unsigned status,
                           const std::string& body,
                           const std::string& headers) {
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -56,9 +56,13 @@
   std::thread m_thread;
 };
 
-// A loopback address whose port was free a moment ago.
+// A loopback address whose port was free a moment ago. Any process may listen
+// there by the time it is used.
 std::string ClosedAddress();
 
+// A loopback address that refuses connections until this process ends.
+std::string RefusingAddress();
+
 // Runs a coroutine to completion on a new I/O context and returns its result.
 template <typename Result>
 Result RunCoroutine(
