--- a/test/support/running_site.cc
+++ b/test/support/running_site.cc
@@ -308,16 +308,42 @@
   return state.body.find(text) != std::string::npos;
 }
 
+void RunningSite::CheckRunning() const {
+  const auto check = [](std::string_view kind, const auto& processes) {
+    for (size_t i = 0; i < processes.size(); ++i) {
+      const auto end = processes[i] ? processes[i]->TryWait() : std::nullopt;
+      if (end) {
+        throw std::runtime_error(fmt::format(
+            "{} {} has exited with {} during the start", kind, i, *end));
+      }
+    }
+  };
+  check("instance", nodes);
+  check("engine", engines);
+  check("ledger", ledgers);
+  if (const auto end = platform->TryWait()) {
+    throw std::runtime_error(
+        fmt::format("the platform has exited with {} during the start", *end));
+  }
+}
+
 void RunningSite::PublishAndWait() {
   WaitUntil([&] {
+    CheckRunning();
     return Call({.address = PlatformAddress(),
                  .target = "/api/log-newest?topic=keyed.status&part=0"})
                .status == 200;
   });
-  RunProgram("pomeloring-ctl", {"--platform", PlatformAddress(), "publish",
-                                ConfigPath(), "--base", "0"});
+  const int published =
+      RunProgram("pomeloring-ctl", {"--platform", PlatformAddress(), "publish",
+                                    ConfigPath(), "--base", "0"});
+  if (published != 0) {
+    throw std::runtime_error(
+        fmt::format("the publication ended with {}", published));
+  }
   for (size_t i = 0; i < m_options.instances; ++i) {
     WaitUntil([&] {
+      CheckRunning();
       return Call({.address = AdminAddress(i), .target = "/readyz"}).status ==
                  200 &&
              ListsEntries(i, m_options.instances);
@@ -325,12 +351,14 @@
   }
   for (size_t i = 0; i < m_options.engines; ++i) {
     WaitUntil([&] {
+      CheckRunning();
       return Call({.address = EngineAddress(i), .target = "/health"}).status ==
              200;
     });
   }
   for (size_t i = 0; i < m_options.ledgers; ++i) {
     WaitUntil([&] {
+      CheckRunning();
       return Call({.address = LedgerAddress(i), .target = "/health"}).status ==
              200;
     });
--- a/test/support/running_site.h
+++ b/test/support/running_site.h
@@ -56,7 +56,8 @@
       const std::function<bool()>& done,
       std::source_location where = std::source_location::current());
   // Publishes the configuration and waits until all instances are ready and
-  // list each other, and all engines and ledgers answer health checks.
+  // list each other, and all engines and ledgers answer health checks. Throws
+  // std::runtime_error at once if a process exits or the publication fails.
   void PublishAndWait();
 
   std::string CallerAddress(size_t instance) const;
@@ -111,6 +112,8 @@
  private:
   std::string Address(int offset) const;
   void WriteConfig() const;
+  // Throws std::runtime_error, naming it, if a process has exited.
+  void CheckRunning() const;
 
   const RunningSiteOptions m_options;
   const int m_base_port;
