Flows between failure domains: router, digests, placement, logs and metrics

Requests of a service whose engines have few slots stay in their failure domain unless the agreed flow, cached prompt parts or a lack of slots in time sends them out. Instances report demand and flows in digests; relays add up the former and average the latter.

--- a/src/ctl/log_report.cc
+++ b/src/ctl/log_report.cc
@@ -39,7 +39,9 @@
       "store-regained",
       "configuration-taken",
       "duties-gained",
-      "duties-lost"};
+      "duties-lost",
+      "flow-started",
+      "flow-ended"};
   return kInstanceEvents.contains(line.event) &&
          instances.contains(line.instance);
 }
--- a/src/daemon/log.cc
+++ b/src/daemon/log.cc
@@ -65,7 +65,9 @@
       {"instance", m_instance},
       {"event", event}};
   for (const LogField& field : fields) {
-    line[field.name] = field.value;
+    if (!field.name.empty()) {
+      line[field.name] = field.value;
+    }
   }
   if (dropped > 0) {
     line["left_out"] = dropped;
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -16,7 +16,7 @@
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
 struct LogField {
-  std::string_view name;
+  std::string_view name;  // A field without a name is left out.
   std::string value;
 };
 
--- a/src/flows/domain_flows.cc
+++ b/src/flows/domain_flows.cc
@@ -47,6 +47,9 @@
 // cached.
 constexpr double kRedundantPrefillWeight = 8;
 constexpr double kUsesOfSharedPart = 8;
+// Keeps a request in its domain while an engine there can start it in time:
+// above all other costs, also the random part of the choice among free slots.
+constexpr double kKeepHomeCostMs = 1e6;
 
 double ReportedFlow(const FlowInputs& inputs,
                     const FailureDomain& from,
@@ -212,18 +215,27 @@
   });
 }
 
-FlowReports MeanFlows(std::span<const FlowReports* const> reports) {
+void AddFlows(FlowSums& total, const FlowReports& reports) {
+  for (const auto& [key, fraction] : reports) {
+    total[key].fractions += fraction;
+    ++total[key].reports;
+  }
+}
+
+void SubtractFlows(FlowSums& total, const FlowReports& reports) {
+  for (const auto& [key, fraction] : reports) {
+    total[key].fractions -= fraction;
+    --total[key].reports;
+  }
+}
+
+FlowReports MeansOf(const FlowSums& total) {
   FlowReports means;
-  std::map<std::pair<ServiceName, DomainPair>, int> counts;
-  for (const FlowReports* each : reports) {
-    for (const auto& [key, fraction] : *each) {
-      means[key] += fraction;
-      ++counts[key];
+  for (const auto& [key, sum] : total) {
+    if (sum.reports > 0) {
+      means[key] = std::max(0.0, sum.fractions / sum.reports);
     }
   }
-  for (auto& [key, mean] : means) {
-    mean /= counts[key];
-  }
   return means;
 }
 
@@ -336,6 +348,57 @@
   return kRoundTripMs + ms_per_mb * bytes / kBytesPerMb;
 }
 
+std::string_view ToString(CrossingReason reason) {
+  switch (reason) {
+    case CrossingReason::kNone:
+      return "";
+    case CrossingReason::kFlow:
+      return "flow";
+    case CrossingReason::kSharedParts:
+      return "shared-parts";
+    case CrossingReason::kNotInTime:
+      return "not-in-time";
+    case CrossingReason::kNoUpstream:
+      return "no-upstream";
+    case CrossingReason::kLowerCost:
+      return "lower-cost";
+  }
+  return "";
+}
+
+double CrossingCostMs(const DomainCrossing& crossing,
+                      const FailureDomain& domain,
+                      const CrossingOffer& offer) {
+  const double late_ms = offer.starts_in_time ? 0 : kKeepHomeCostMs;
+  if (offer.is_home) {
+    return late_ms;
+  }
+  const bool may_leave =
+      offer.has_worthy_parts ||
+      (crossing.target != nullptr && domain == *crossing.target);
+  return late_ms + crossing.price_ms + (may_leave ? 0 : kKeepHomeCostMs);
+}
+
+CrossingReason ReasonOf(const DomainCrossing& crossing,
+                        const FailureDomain& domain,
+                        const CrossingOffer& offer,
+                        bool has_home_upstream) {
+  if (offer.is_home) {
+    return CrossingReason::kNone;
+  }
+  if (!has_home_upstream) {
+    return CrossingReason::kNoUpstream;
+  }
+  if (crossing.flows == nullptr) {
+    return CrossingReason::kLowerCost;
+  }
+  if (crossing.target != nullptr && domain == *crossing.target) {
+    return CrossingReason::kFlow;
+  }
+  return offer.has_worthy_parts ? CrossingReason::kSharedParts
+                                : CrossingReason::kNotInTime;
+}
+
 bool IsCrossingCheaper(double price_ms, double prefill_ms) {
   return kUsesOfSharedPart * price_ms < kRedundantPrefillWeight * prefill_ms;
 }
--- a/src/flows/domain_flows.h
+++ b/src/flows/domain_flows.h
@@ -8,8 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <span>
-#include <tuple>
+#include <string_view>
 #include <utility>
 
 #include "core/ids.h"
@@ -38,7 +37,8 @@
 using FlowFractions = std::map<DomainPair, double>;
 using FlowReports = std::map<std::pair<ServiceName, DomainPair>, double>;
 
-// What instances tell each other for the flows.
+// What instances tell each other for the flows. Relays add up the demands and
+// average the flows, in both cases without those of the receiver.
 struct FlowDigest {
   FailureDomain failure_domain;  // Of the sender.
   DemandRates demands;
@@ -50,8 +50,18 @@
 void AddDemands(DemandRates& total, const DemandRates& demands);
 // `demands` must be a part of `total`. Drops what is left of rounding.
 void SubtractDemands(DemandRates& total, const DemandRates& demands);
-// The mean of all that report a flow; each of `reports` counts once.
-FlowReports MeanFlows(std::span<const FlowReports* const> reports);
+
+// Reports of several instances or groups of them, each of which counts once.
+struct FlowSum {
+  double fractions = 0;
+  int reports = 0;
+};
+using FlowSums = std::map<std::pair<ServiceName, DomainPair>, FlowSum>;
+
+void AddFlows(FlowSums& total, const FlowReports& reports);
+// `reports` must be a part of `total`.
+void SubtractFlows(FlowSums& total, const FlowReports& reports);
+FlowReports MeansOf(const FlowSums& total);
 
 struct DomainLoad {
   DomainSupply supply;
@@ -86,7 +96,7 @@
 FlowFractions PlanFlows(const FlowInputs& inputs);
 
 // Moves the flows towards the planned ones and those that instances of the same
-// domain report, at bounded rates. To be called some ten times a second.
+// domain report, at bounded rates. To be called several times a second.
 void UpdateFlows(DomainFlows& flows, const FlowInputs& inputs, Time now);
 
 // Returns the domain that the request `id` may leave for; null if none, also
@@ -100,6 +110,47 @@
 // domain, in ms of waiting.
 double CrossingPriceMs(double ms_per_mb, double bytes);
 
+// Why a request was placed in another failure domain.
+enum class CrossingReason {
+  kNone,         // It was not.
+  kFlow,         // The flow of its own domain allows it.
+  kSharedParts,  // The other domain has cached parts of its prompt.
+  kNotInTime,    // No engine of its own domain could start it in time.
+  kNoUpstream,   // No upstream of its own domain was usable.
+  kLowerCost,    // No flow is known; a constant stands for the crossing.
+};
+
+std::string_view ToString(CrossingReason reason);
+
+// What the placement of one request needs of the flows.
+struct DomainCrossing {
+  bool is_controlled = false;  // Whether the setting is on.
+  // Null where a constant stands for the crossing.
+  const DomainFlows* flows = nullptr;
+  const FailureDomain* target = nullptr;  // See FlowTargetOf().
+  double price_ms = 0;                    // See CrossingPriceMs().
+};
+
+// An engine that a request could be placed at.
+struct CrossingOffer {
+  bool is_home = false;
+  bool starts_in_time = true;
+  // It has cached more of the prompt than any engine of the own domain, and the
+  // parts are worth their bytes.
+  bool has_worthy_parts = false;
+};
+
+// Cost of the crossing to an engine in `domain`, in ms of waiting.
+double CrossingCostMs(const DomainCrossing& crossing,
+                      const FailureDomain& domain,
+                      const CrossingOffer& offer);
+
+// Why a request leaves for `domain`.
+CrossingReason ReasonOf(const DomainCrossing& crossing,
+                        const FailureDomain& domain,
+                        const CrossingOffer& offer,
+                        bool has_home_upstream);
+
 // Whether sending a request with its bytes, and later ones with the same parts,
 // is cheaper than prefilling the parts in the own domain too.
 bool IsCrossingCheaper(double price_ms, double prefill_ms);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -359,7 +359,10 @@
        {"trait", fmt::format("{:x}", m_whole_request)},
        {"parts", FormatSharedParts(m_metadata.prompt_parts)},
        {"upstreams_as_of",
-        std::to_string(m_gateway.router.Upstreams().as_of.value)}});
+        std::to_string(m_gateway.router.Upstreams().as_of.value)},
+       {attempt->placement.left_domain == CrossingReason::kNone ? ""
+                                                                : "left_domain",
+        std::string(ToString(attempt->placement.left_domain))}});
   m_placed_attempt = attempt;
   m_upstream_attempt = std::make_shared<UpstreamAttempt>(
       m_gateway, MakeUpstreamRequest(attempt), attempt);
@@ -371,6 +374,7 @@
     end = co_await m_upstream_attempt->Execute(sink);
   }
   m_last_reply = m_upstream_attempt->Reply();
+  attempt->bytes += m_request.body().size() + m_last_reply.body.size();
   CountUsageOfAttempt(end, m_upstream_attempt->SentAt());
   m_upstream_attempt = nullptr;
   // A stream that ends within an event has been broken off, however its
--- a/src/gateway/exchange_streams.cc
+++ b/src/gateway/exchange_streams.cc
@@ -153,6 +153,7 @@
 }
 
 asio::awaitable<bool> Exchange::ForwardEvents(std::string_view bytes) {
+  m_placed_attempt->bytes += bytes.size();
   const CompleteEvents events = m_event_splitter->Feed(bytes);
   if (events.out_of_order) {
     m_stream_broken = true;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -94,6 +94,20 @@
   return router;
 }
 
+// What a flow was decided by: slots in use and in all, requests that wait for
+// one, and slots that the domain's callers ask for.
+std::string FormatDomainLoad(const FlowInputs& inputs,
+                             const FailureDomain& domain) {
+  const auto found = inputs.domains.find(domain);
+  if (found == inputs.domains.end()) {
+    return "unknown";
+  }
+  const auto& [supply, demand] = found->second;
+  return fmt::format("in_use {:.0f} of {:.0f}, queued {:.0f}, demand {}",
+                     supply.in_use, supply.slots, supply.queued,
+                     demand ? fmt::format("{:.0f}", demand->slots) : "unknown");
+}
+
 StoreFeedSettings MakeFeedSettings(const GatewaySettings& settings) {
   StoreFeedSettings feed;
   feed.change_deadline = settings.change_deadline;
@@ -497,6 +511,7 @@
                                    now);
       }
       m_router.Tick(now);
+      LogFlowChanges();
       m_pool.CloseIdle();
       if (now - m_estimates_logged_at >= kEstimateLogInterval) {
         m_estimates_logged_at = now;
@@ -537,6 +552,21 @@
     }
   }
 
+  void LogFlowChanges() {
+    for (const FlowChange& change : m_router.TakeFlowChanges()) {
+      const FlowInputs& inputs = change.inputs;
+      m_log.Write(
+          LogLevel::kInfo, change.has_started ? "flow-started" : "flow-ended",
+          {{"service", change.service.value},
+           {"from", inputs.home.value},
+           {"to", change.to.value},
+           {"from_load", FormatDomainLoad(inputs, inputs.home)},
+           {"to_load", FormatDomainLoad(inputs, change.to)},
+           {"price_ms", fmt::format("{:.1f}", inputs.price_ms)},
+           {"age_ms", fmt::format("{:.0f}", ToMillis(inputs.digest_age))}});
+    }
+  }
+
   void LogEngineEstimates(Time now) {
     for (const auto& [service, engines] : m_router.Engines()) {
       if (engines.observations == 0) {
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -30,6 +30,35 @@
   ++metrics.events[std::string(name)];
 }
 
+namespace {
+
+std::string FormatFlowMetrics(const Router& router) {
+  std::string out;
+  const std::string& home = router.Settings().failure_domain.value;
+  for (const auto& [service, state] : router.Flows()) {
+    const auto labels = [&](const FailureDomain& to) {
+      return fmt::format("service=\"{}\",from=\"{}\",to=\"{}\"", service.value,
+                         home, to.value);
+    };
+    for (const auto& [to, flow] : state.flows.out) {
+      out += fmt::format("pomeloring_flow_fraction{{{}}} {:.3f}\n", labels(to),
+                         flow.fraction);
+    }
+    for (const auto& [key, count] : state.requests) {
+      out += fmt::format(
+          "pomeloring_requests_left_domain_total{{{},reason=\"{}\"}} {}\n",
+          labels(key.first), ToString(key.second), count);
+    }
+    for (const auto& [to, bytes] : state.bytes) {
+      out += fmt::format("pomeloring_cross_domain_bytes_total{{{}}} {}\n",
+                         labels(to), bytes);
+    }
+  }
+  return out;
+}
+
+}  // namespace
+
 std::string FormatMetrics(const GatewayMetrics& metrics,
                           const Router& router,
                           Time now) {
@@ -77,6 +106,7 @@
       }
     }
   }
+  out += FormatFlowMetrics(router);
   const auto config = router.Config();
   out += fmt::format(
       "pomeloring_config_version {}\npomeloring_newest_config_version {}\n"
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -76,6 +76,52 @@
   return notice;
 }
 
+// In requests a second; smaller rates are sent as this one.
+constexpr double kMinDemandRate = 0.001;
+
+void EncodeFlows(const FlowDigest& flows, wire::PeerDigest& out) {
+  out.set_failure_domain(flows.failure_domain.value);
+  for (const auto& [key, demand] : flows.demands) {
+    wire::DomainDemand& entry = *out.add_demands();
+    entry.set_service(key.first.value);
+    entry.set_failure_domain(key.second.value);
+    const double rate = std::max(demand.requests_per_s, kMinDemandRate);
+    entry.set_requests_per_s(static_cast<float>(rate));
+    entry.set_mean_slot_ms(static_cast<float>(1000 * demand.slots / rate));
+    entry.set_mean_bytes(static_cast<float>(demand.bytes_per_s / rate));
+  }
+  for (const auto& [key, fraction] : flows.flows) {
+    wire::DomainFlow& entry = *out.add_flows();
+    entry.set_service(key.first.value);
+    entry.set_from(key.second.first.value);
+    entry.set_to(key.second.second.value);
+    entry.set_fraction(static_cast<float>(fraction));
+  }
+}
+
+// Bounds what a damaged digest can add to the sums: more than any fleet's.
+constexpr float kMaxDemandValue = 1e9F;
+
+double Bounded(float value, float max) {
+  return value >= 0 ? std::min(value, max) : 0;  // 0 also for NaN.
+}
+
+FlowDigest DecodeFlows(const wire::PeerDigest& in) {
+  FlowDigest flows;
+  flows.failure_domain.value = in.failure_domain();
+  for (const wire::DomainDemand& entry : in.demands()) {
+    const double rate = Bounded(entry.requests_per_s(), kMaxDemandValue);
+    flows.demands[{{entry.service()}, {entry.failure_domain()}}] = {
+        rate, rate * Bounded(entry.mean_slot_ms(), kMaxDemandValue) / 1000,
+        rate * Bounded(entry.mean_bytes(), kMaxDemandValue)};
+  }
+  for (const wire::DomainFlow& entry : in.flows()) {
+    flows.flows[{{entry.service()}, {{entry.from()}, {entry.to()}}}] =
+        Bounded(entry.fraction(), 1);
+  }
+  return flows;
+}
+
 }  // namespace
 
 std::string EncodeDigest(const PeerDigest& digest) {
@@ -151,6 +197,7 @@
     entry.set_waiting(backlog.waiting);
     entry.set_refused(backlog.refused);
   }
+  EncodeFlows(digest.flows, out);
   return out.SerializeAsString();
 }
 
@@ -224,6 +271,7 @@
   for (const wire::ServiceBacklog& entry : in.backlogs()) {
     digest.backlogs[{entry.service()}] = {entry.waiting(), entry.refused()};
   }
+  digest.flows = DecodeFlows(in);
   return digest;
 }
 
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -9,6 +9,7 @@
 
 #include "core/ids.h"
 #include "duties/duty_notice.h"
+#include "flows/domain_flows.h"
 #include "routing/exit_notice.h"
 #include "routing/request_quarantine.h"
 #include "routing/service_backlog.h"
@@ -71,6 +72,8 @@
   DutyNotice duties;
   // Of the same instances as `loads`, always whole.
   ServiceBacklogs backlogs;
+  // As `backlogs`; empty unless flows between failure domains are controlled.
+  FlowDigest flows;
 };
 
 // Splits a digest with many loads into several that fit into a datagram each.
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "routing/crossing_cost.h"
+
 namespace pomeloring {
 namespace {
 
@@ -92,6 +94,9 @@
   uint32_t prefill_tokens = 0;
   bool gap_sensitive = false;
   uint32_t running = 0;
+  // Isolated engines are kept from this request, or this one from the others.
+  bool breaks_isolation = false;
+  CrossingOffer offer;
 };
 
 // A chunk late in a long prompt takes longer than the mean of the chunks.
@@ -120,6 +125,9 @@
   uint32_t cached_tokens = 0;
   const UpstreamState* home = nullptr;  // See FindHome().
   uint32_t home_tokens = 0;
+  // Only where flows between failure domains are controlled:
+  bool is_worth_crossing = false;
+  uint32_t own_domain_tokens = 0;  // Cached there, or at `home`.
 };
 
 // Returns the upstream that all instances prefer for prompts with the shared
@@ -129,6 +137,7 @@
 const UpstreamState* FindHome(const PlacementRequest& request,
                               std::span<UpstreamState* const> candidates,
                               bool avoids_isolated,
+                              bool is_worth_crossing,
                               Time now) {
   const uint64_t part = request.parts[request.parts.size() - 2].id;
   const UpstreamState* home = nullptr;
@@ -138,7 +147,9 @@
     const uint64_t weight = NextRandom(seed);
     if ((home == nullptr || weight > home_weight) &&
         !(avoids_isolated && upstream->is_isolated) &&
-        !upstream->backpressure.limit && IsUsable(*upstream, request, now)) {
+        !upstream->backpressure.limit &&
+        MayUseParts(request, *upstream, is_worth_crossing) &&
+        IsUsable(*upstream, request, now)) {
       home = upstream;
       home_weight = weight;
     }
@@ -148,25 +159,67 @@
 
 SharedPrompt FindSharedPrompt(const PlacementRequest& request,
                               std::span<UpstreamState* const> candidates,
+                              const EngineEstimate& estimate,
                               bool avoids_isolated,
                               Time now) {
   SharedPrompt shared;
-  for (const UpstreamState* upstream : candidates) {
-    shared.cached_tokens =
-        std::max(shared.cached_tokens, CachedTokens(*upstream, request.parts));
-  }
-  shared.cached_tokens = std::min(shared.cached_tokens, request.prompt_tokens);
   uint32_t shared_tokens = 0;
   for (size_t i = 0; i + 1 < request.parts.size(); ++i) {
     shared_tokens += request.parts[i].tokens;
   }
+  shared.is_worth_crossing =
+      request.crossing.flows != nullptr &&
+      IsCrossingCheaper(request.crossing.price_ms,
+                        shared_tokens * estimate.prefill_ms_per_token);
+  for (const UpstreamState* upstream : candidates) {
+    const uint32_t cached = CachedTokens(*upstream, request.parts);
+    if (cached == 0 ||
+        !MayUseParts(request, *upstream, shared.is_worth_crossing)) {
+      continue;
+    }
+    shared.cached_tokens = std::max(shared.cached_tokens, cached);
+    if (upstream->record.failure_domain == request.failure_domain) {
+      shared.own_domain_tokens = std::max(shared.own_domain_tokens, cached);
+    }
+  }
+  shared.cached_tokens = std::min(shared.cached_tokens, request.prompt_tokens);
   if (shared_tokens > shared.cached_tokens) {
-    shared.home = FindHome(request, candidates, avoids_isolated, now);
+    shared.home = FindHome(request, candidates, avoids_isolated,
+                           shared.is_worth_crossing, now);
     shared.home_tokens = shared_tokens;
+    if (shared.home != nullptr &&
+        shared.home->record.failure_domain == request.failure_domain) {
+      shared.own_domain_tokens = shared_tokens;
+    }
   }
   return shared;
 }
 
+// Adds what the failure domain of the upstream costs.
+void AddDomainCost(const PlacementRequest& request,
+                   const UpstreamState& upstream,
+                   const EngineEstimate& estimate,
+                   const SharedPrompt& shared,
+                   Cost& cost) {
+  cost.offer.is_home = upstream.record.failure_domain == request.failure_domain;
+  if (request.crossing.flows == nullptr) {
+    cost.cost_ms += cost.offer.is_home ? 0 : kCrossDomainCostMs;
+    return;
+  }
+  EngineForecast forecast{cost.latency_ms, cost.running, cost.breaks_isolation,
+                          0, estimate.prefill_ms_per_token};
+  if (shared.is_worth_crossing) {
+    const uint32_t tokens = &upstream == shared.home
+                                ? shared.home_tokens
+                                : CachedTokens(upstream, request.parts);
+    forecast.tokens_ahead_of_home =
+        std::max(tokens, shared.own_domain_tokens) - shared.own_domain_tokens;
+  }
+  cost.offer = OfferOf(request, upstream, forecast);
+  cost.cost_ms += CrossingCostMs(request.crossing,
+                                 upstream.record.failure_domain, cost.offer);
+}
+
 // Whether the request's own prefill, with nothing cached, may delay an event of
 // the service's most sensitive streams too much.
 bool IsLongPrompt(const PlacementRequest& request,
@@ -206,10 +259,11 @@
   if (cost.gap_sensitive) {
     cost.cost_ms += kMissedGapCostMs * missed_now +
                     (upstream.is_isolated ? 0 : kNotIsolatedCostMs);
+    cost.breaks_isolation = !upstream.is_isolated;
   } else if (upstream.is_isolated) {
-    cost.cost_ms += IsLongPrompt(request, engine, estimate)
-                        ? kLongPromptAtIsolatedCostMs
-                        : kOtherAtIsolatedCostMs;
+    cost.breaks_isolation = IsLongPrompt(request, engine, estimate);
+    cost.cost_ms += cost.breaks_isolation ? kLongPromptAtIsolatedCostMs
+                                          : kOtherAtIsolatedCostMs;
   }
 }
 
@@ -428,7 +482,7 @@
   const bool avoids_isolated = request.isolates_streams && engine &&
                                IsLongPrompt(request, *engine, estimate);
   const SharedPrompt shared =
-      FindSharedPrompt(request, candidates, avoids_isolated, now);
+      FindSharedPrompt(request, candidates, estimate, avoids_isolated, now);
   SlotSupply supply{engine ? engine->batch_slots : 0};
   // Only the highest priority may wait at an engine for a slot.
   const bool may_queue =
@@ -440,6 +494,7 @@
   std::optional<double> min_wait_ms;  // Until one could accept the request.
   double total_share = 0;
   size_t usable = 0;
+  bool has_home_upstream = false;
   const size_t offset = candidates.empty() ? 0 : random % candidates.size();
   for (size_t i = 0; i < candidates.size(); ++i) {
     UpstreamState* upstream = candidates[(i + offset) % candidates.size()];
@@ -452,6 +507,8 @@
     cost.cost_ms += PathCostMs(*upstream);
     total_share += cost.prefill_share;
     ++usable;
+    has_home_upstream |=
+        upstream->record.failure_domain == request.failure_domain;
     if (request.slots != nullptr &&
         !UseSlots(request, may_queue, supply, cost, spread_random)) {
       continue;
@@ -464,9 +521,7 @@
     if (target_ms > 0 && cost.latency_ms > target_ms) {
       cost.cost_ms += kLatenessWeight * (cost.latency_ms - target_ms);
     }
-    if (upstream->record.failure_domain != request.failure_domain) {
-      cost.cost_ms += kCrossDomainCostMs;
-    }
+    AddDomainCost(request, *upstream, estimate, shared, cost);
     if (!best || cost.cost_ms < best->cost_ms) {
       best = cost;
       chosen = upstream;
@@ -516,8 +571,15 @@
   if (best->interference_ms > kMinInterferenceToDeferMs && may_wait) {
     return Deferred{};
   }
-  return Placement{chosen, best->prefill_tokens, UrgencyRankOf(*request.route),
-                   best->gap_sensitive, FromMillis(best->latency_ms)};
+  Placement placement{chosen, best->prefill_tokens,
+                      UrgencyRankOf(*request.route), best->gap_sensitive,
+                      FromMillis(best->latency_ms)};
+  if (request.crossing.is_controlled) {
+    placement.left_domain =
+        ReasonOf(request.crossing, chosen->record.failure_domain, best->offer,
+                 has_home_upstream);
+  }
+  return placement;
 }
 
 }  // namespace pomeloring
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "admission/slot_admission.h"
+#include "flows/domain_flows.h"
 #include "isolation/stream_isolation.h"
 #include "routing/engine_estimate.h"
 #include "routing/request_traits.h"
@@ -41,6 +42,7 @@
   uint64_t ticket = 0;  // See SlotQuestion.
   // Whether some engines are kept for streams that long prefills would delay.
   bool isolates_streams = false;
+  DomainCrossing crossing;
 };
 
 struct Placement {
@@ -51,6 +53,8 @@
   bool gap_sensitive = false;
   // To the answer or, for a stream, to the first event.
   Duration expected_latency{0};
+  // Only where flows between failure domains are controlled.
+  CrossingReason left_domain = CrossingReason::kNone;
 };
 
 enum class PlacementRefusal {
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -206,6 +206,7 @@
 void Router::CountRequest(const ServiceName& service, Time now) {
   pomeloring::CountRequest(m_retry_budgets[service], m_settings.retries, now);
   RecordRequest(m_request_rates[service], now);
+  RecordArrival(service, now);
 }
 
 bool Router::AllowRetry(const ServiceName& service, Time now) {
@@ -309,6 +310,7 @@
   placement_request.slots = SlotsOf(service->second);
   placement_request.ticket = request.ticket;
   placement_request.isolates_streams = IsolatesStreams(service->second);
+  placement_request.crossing = CrossingOf(request, service->second);
   placement_request.unseen_starts =
       UnseenStartsOf(request.service, candidates, now);
   placement_request.may_use_ejected =
@@ -358,6 +360,7 @@
       service->second.engine ? service->second.engine->batch_slots : 0;
   attempt->priority = request.route->priority;
   RecordSlotUse(request, now);
+  RecordCrossing(*attempt);
   RecordStart(attempt->upstream->backpressure, now);
   const UpstreamLoad load_before = TotalLoad(*attempt->upstream);
   attempt->no_prefill_ahead = PendingPrefillTokens(load_before) == 0;
@@ -442,6 +445,7 @@
                       static_cast<double>(tokens), now - attempt.started);
     RecordAnswer(attempt, now);
   }
+  RecordBytes(attempt, outcome, now);
   RecordUpstreamOutcome(attempt.upstream->health, outcome, 0, now);
   MarkLoadChanged(attempt);
 }
@@ -693,6 +697,7 @@
   DivideLimits(now);
   UpdateSlots(now);
   UpdateIsolation(now);
+  UpdateFlows(now);
   UpdatePeerPaths(now);
   UpdateVersions(now);
   ProcessExits(now);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -5,6 +5,7 @@
 #define POMELORING_ROUTING_ROUTER_H_
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -72,6 +73,7 @@
   uint32_t priority = 0;  // Of the route.
   uint64_t events = 0;
   Time last_event_at;
+  uint64_t bytes = 0;  // Of the request and its answer, set by the caller.
 };
 
 struct AttemptRequest {
@@ -103,6 +105,34 @@
 
 using CachedPart = std::pair<UpstreamName, uint64_t>;
 
+// The flows of one service out of this instance's failure domain, and what they
+// depend on.
+struct ServiceFlows {
+  DemandMeter demand;
+  std::map<std::string, double> mean_bytes;  // By route.
+  DomainFlows flows;
+  FlowInputs inputs;  // Of the last update.
+  // Totals, for metrics: requests and bytes that left, by domain.
+  std::map<std::pair<FailureDomain, CrossingReason>, uint64_t> requests;
+  std::map<FailureDomain, uint64_t> bytes;
+  // Flows that were last reported as started, and when.
+  std::map<FailureDomain, std::pair<bool, Time>> reported;
+};
+
+// What several instances report.
+struct FlowTotals {
+  DemandRates demands;
+  FlowSums flows;
+};
+
+// A flow that has started or ended.
+struct FlowChange {
+  ServiceName service;
+  FailureDomain to;
+  bool has_started = false;
+  FlowInputs inputs;
+};
+
 struct PeerState {
   PeerDigest digest;  // The last one, without loads, parts and limits.
   // Upstreams that have an entry for this peer in `peer_loads`.
@@ -296,6 +326,11 @@
   const std::map<ServiceName, IsolatedEngines>& Isolated() const {
     return m_isolated;
   }
+  // Of services whose flows between failure domains are controlled.
+  const std::map<ServiceName, ServiceFlows>& Flows() const { return m_flows; }
+  // Returns the flows that have started or ended since the last call, at most
+  // one a second for each service and domain.
+  std::vector<FlowChange> TakeFlowChanges();
 
  private:
   struct DepartedUpstream {
@@ -351,6 +386,29 @@
   // Updates which engines are isolated.
   void UpdateIsolation(Time now);
   bool IsolatesStreams(const RoutedService& service) const;
+  // Whether flows of the service between failure domains are controlled.
+  bool ControlsFlows(const RoutedService& service) const;
+  DomainCrossing CrossingOf(const AttemptRequest& request,
+                            const RoutedService& service) const;
+  void RecordArrival(const ServiceName& service, Time now);
+  void RecordCrossing(const PlacedAttempt& attempt);
+  void RecordBytes(const PlacedAttempt& attempt,
+                   UpstreamOutcome outcome,
+                   Time now);
+  void UpdateFlows(Time now);
+  // The inputs of all services but for what concerns one of them.
+  FlowInputs MakeFlowInputs(const ServiceName& service,
+                            const DemandRates& demands,
+                            const FlowReports& reports,
+                            Time now);
+  void NoteFlowChanges(const ServiceName& service,
+                       ServiceFlows& state,
+                       Time now);
+  FlowDigest LocalFlows(Time now) const;
+  // What this instance and the peers that `includes` accepts report.
+  FlowTotals SumFlows(const std::function<bool(const InstanceName&)>& includes,
+                      Time now) const;
+  FlowDigest MakeFlowDigest(const FlowTotals& totals) const;
   void RecordSlotUse(const AttemptRequest& request, Time now);
   void RecordSlotTime(const PlacedAttempt& attempt, Time now);
   // Divides the upstreams' limits among the instances that serve now.
@@ -386,6 +444,10 @@
   std::map<ServiceName, SlotAdmission> m_slots;
   // Of services whose streams are isolated.
   std::map<ServiceName, IsolatedEngines> m_isolated;
+  // Of services whose flows between failure domains are controlled.
+  std::map<ServiceName, ServiceFlows> m_flows;
+  std::vector<FlowChange> m_flow_changes;
+  size_t m_flow_instances = 1;       // That served when digests last arrived.
   uint64_t m_round_robin_index = 0;  // For kRoundRobin.
   std::map<InstanceName, PeerState> m_peers;
   DutyNotice m_duties;
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -117,6 +117,7 @@
   }
   m_changed_loads.clear();
   digest.backlogs = LocalBacklogs(now);
+  digest.flows = LocalFlows(now);
   digest.cached_parts = TakeFront(m_parts_to_send);
   m_has_pending_changes = !m_parts_to_send.empty();
   return digest;
@@ -169,6 +170,8 @@
       }
     }
   }
+  digest.flows = MakeFlowDigest(SumFlows(
+      [&](const InstanceName& name) { return group.contains(name); }, now));
   for (const auto& [name, state] : m_states) {
     DecayPrefillLoads(*state, now);
     UpstreamLoad load = state->local_load;
@@ -196,6 +199,8 @@
   const std::set<uint32_t> serving = ServingPeerHashes(now);
   const std::set<uint32_t> cut_off = CutOffPeerHashes(now);
   const ServiceBacklogs backlogs = TotalBacklogs(now);
+  const FlowTotals flow_totals =
+      SumFlows([](const InstanceName&) { return true; }, now);
   std::vector<std::pair<UpstreamState*, UpstreamLoad>> totals;
   for (const auto& [name, state] : m_states) {
     DecayPrefillLoads(*state, now);
@@ -215,6 +220,10 @@
     digest.cached_parts = parts;
     digest.backlogs = backlogs;
     SubtractBacklogs(digest.backlogs, peer.digest.backlogs);
+    FlowTotals others = flow_totals;
+    SubtractDemands(others.demands, peer.digest.flows.demands);
+    SubtractFlows(others.flows, peer.digest.flows.flows);
+    digest.flows = MakeFlowDigest(others);
     for (const auto& [state, total] : totals) {
       UpstreamLoad load = total;
       if (const auto peer_load = state->peer_loads.find(name);
@@ -439,6 +448,7 @@
   }
   found->second.counted_upstreams.clear();
   found->second.digest.backlogs.clear();
+  found->second.digest.flows = {};
 }
 
 bool Router::IsConfigBehind(const PeerDigest& digest) const {
--- a/test/contract/explained_request_test.cc
+++ b/test/contract/explained_request_test.cc
@@ -44,6 +44,18 @@
   CHECK(report.find("state=gone") == std::string::npos);
 }
 
+TEST_CASE("a report says why a request left its failure domain") {
+  std::istringstream in(
+      R"({"time":"2026-12-03T10:00:01.000Z","instance":"a","event":"flow-started","service":"s","from":"d0","to":"d1"}
+{"time":"2026-12-03T10:00:01.100Z","instance":"b","event":"flow-started","service":"s","from":"d2","to":"d1"}
+{"time":"2026-12-03T10:00:02.000Z","instance":"a","event":"placed","request":"r1","upstream":"e1","left_domain":"flow"}
+)");
+  const std::string report = ExplainRequest(ReadLogLines(in), "r1");
+  CHECK(report.find("left_domain=flow") != std::string::npos);
+  CHECK(report.find("from=d0") != std::string::npos);
+  CHECK(report.find("from=d2") == std::string::npos);
+}
+
 TEST_CASE("a request that no line mentions has an empty report") {
   CHECK(ExplainRequest(Lines(), "r9").empty());
 }
--- a/test/flows/flows_follow_supply_and_demand_test.cc
+++ b/test/flows/flows_follow_supply_and_demand_test.cc
@@ -232,9 +232,14 @@
                                                 {kNames[0], kNames[1]}};
   const FlowReports first{{pair, 0.2}};
   const FlowReports second{{pair, 0.4}};
-  const FlowReports none;
-  const FlowReports* reports[] = {&first, &second, &none};
-  CHECK(MeanFlows(reports).at(pair) == doctest::Approx(0.3));
+  FlowSums sums;
+  AddFlows(sums, first);
+  AddFlows(sums, second);
+  CHECK(MeansOf(sums).at(pair) == doctest::Approx(0.3));
+  SubtractFlows(sums, first);
+  CHECK(MeansOf(sums).at(pair) == doctest::Approx(0.4));
+  SubtractFlows(sums, second);
+  CHECK(MeansOf(sums).empty());
 }
 
 }  // namespace
