--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -36,9 +36,10 @@
   std::string out;
   const std::string& home = router.Settings().failure_domain.value;
   for (const auto& [service, state] : router.Flows()) {
+    const std::string& name = service.value;
     const auto labels = [&](const FailureDomain& to) {
-      return fmt::format("service=\"{}\",from=\"{}\",to=\"{}\"", service.value,
-                         home, to.value);
+      return fmt::format("service=\"{}\",from=\"{}\",to=\"{}\"", name, home,
+                         to.value);
     };
     for (const auto& [to, flow] : state.flows.out) {
       out += fmt::format("pomeloring_flow_fraction{{{}}} {:.3f}\n", labels(to),
--- a/src/routing/crossing_cost.cc
+++ b/src/routing/crossing_cost.cc
@@ -38,16 +38,15 @@
 CrossingOffer OfferOf(const PlacementRequest& request,
                       const UpstreamState& upstream,
                       const EngineForecast& forecast) {
-  const FailureDomain& domain = upstream.record.failure_domain;
   CrossingOffer offer;
-  offer.is_home = domain == request.failure_domain;
+  offer.is_home = forecast.is_home;
   offer.starts_in_time = StartsInTime(request, upstream, forecast);
   offer.has_worthy_parts =
       !offer.is_home && forecast.tokens_ahead_of_home > 0 &&
       IsCrossingCheaper(
           request.crossing.price_ms,
           forecast.tokens_ahead_of_home * forecast.prefill_ms_per_token) &&
-      AcceptsInflow(*request.crossing.flows, domain);
+      AcceptsInflow(*request.crossing.flows, upstream.record.failure_domain);
   return offer;
 }
 
--- a/src/routing/crossing_cost.h
+++ b/src/routing/crossing_cost.h
@@ -18,6 +18,7 @@
 
 // What is known of a request at an engine.
 struct EngineForecast {
+  bool is_home = false;  // Whether it is in the failure domain of the instance.
   double latency_ms = 0;
   uint32_t running = 0;  // Requests there.
   // Isolated engines are kept from this request, or this one from the others.
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -201,17 +201,20 @@
                    const EngineEstimate& estimate,
                    const SharedPrompt& shared,
                    Cost& cost) {
-  cost.offer.is_home = upstream.record.failure_domain == request.failure_domain;
   if (request.crossing.flows == nullptr) {
     cost.cost_ms += cost.offer.is_home ? 0 : kCrossDomainCostMs;
     return;
   }
-  EngineForecast forecast{cost.latency_ms, cost.running, cost.breaks_isolation,
-                          0, estimate.prefill_ms_per_token};
+  EngineForecast forecast{cost.offer.is_home,
+                          cost.latency_ms,
+                          cost.running,
+                          cost.breaks_isolation,
+                          0,
+                          estimate.prefill_ms_per_token};
   if (shared.is_worth_crossing) {
     const uint32_t tokens = &upstream == shared.home
                                 ? shared.home_tokens
-                                : CachedTokens(upstream, request.parts);
+                                : request.prompt_tokens - cost.prefill_tokens;
     forecast.tokens_ahead_of_home =
         std::max(tokens, shared.own_domain_tokens) - shared.own_domain_tokens;
   }
@@ -507,8 +510,9 @@
     cost.cost_ms += PathCostMs(*upstream);
     total_share += cost.prefill_share;
     ++usable;
-    has_home_upstream |=
+    cost.offer.is_home =
         upstream->record.failure_domain == request.failure_domain;
+    has_home_upstream |= cost.offer.is_home;
     if (request.slots != nullptr &&
         !UseSlots(request, may_queue, supply, cost, spread_random)) {
       continue;
