--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -30,6 +30,36 @@
   ++metrics.events[std::string(name)];
 }
 
+namespace {
+
+std::string FormatFlowMetrics(const Router& router) {
+  std::string out;
+  const std::string& home = router.Settings().failure_domain.value;
+  for (const auto& [service, state] : router.Flows()) {
+    const std::string& name = service.value;
+    const auto labels = [&](const FailureDomain& to) {
+      return fmt::format("service=\"{}\",from=\"{}\",to=\"{}\"", name, home,
+                         to.value);
+    };
+    for (const auto& [to, flow] : state.flows.out) {
+      out += fmt::format("pomeloring_flow_fraction{{{}}} {:.3f}\n", labels(to),
+                         flow.fraction);
+    }
+    for (const auto& [key, count] : state.requests) {
+      out += fmt::format(
+          "pomeloring_requests_left_domain_total{{{},reason=\"{}\"}} {}\n",
+          labels(key.first), ToString(key.second), count);
+    }
+    for (const auto& [to, bytes] : state.bytes) {
+      out += fmt::format("pomeloring_cross_domain_bytes_total{{{}}} {}\n",
+                         labels(to), bytes);
+    }
+  }
+  return out;
+}
+
+}  // namespace
+
 std::string FormatMetrics(const GatewayMetrics& metrics,
                           const Router& router,
                           Time now) {
@@ -83,6 +113,7 @@
         "pomeloring_gap_sensitive_streams{{service=\"{0}\"}} {2:.0f}\n",
         service.value, isolated.count, isolated.load.sensitive_streams);
   }
+  out += FormatFlowMetrics(router);
   const auto config = router.Config();
   out += fmt::format(
       "pomeloring_config_version {}\npomeloring_newest_config_version {}\n"
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -10,6 +10,7 @@
 #include "core/ids.h"
 #include "duties/duty_notice.h"
 #include "routing/engine_estimate.h"
+#include "flows/domain_flows.h"
 #include "routing/exit_notice.h"
 #include "routing/request_quarantine.h"
 #include "routing/service_backlog.h"
@@ -77,6 +78,8 @@
   ServiceFirstEvents first_events;
   // Only where speeds are shared.
   std::vector<SpeedObservation> speeds;
+  // As `backlogs`; empty unless flows between failure domains are controlled.
+  FlowDigest flows;
 };
 
 // Splits a digest with many loads into several that fit into a datagram each.
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "admission/slot_admission.h"
+#include "flows/domain_flows.h"
 #include "isolation/stream_isolation.h"
 #include "routing/engine_estimate.h"
 #include "routing/request_traits.h"
@@ -44,6 +45,7 @@
   // Whether a usable idle connection decides among upstreams of nearly equal
   // cost.
   bool prefers_idle_connections = false;
+  DomainCrossing crossing;
 };
 
 struct Placement {
@@ -54,6 +56,8 @@
   bool gap_sensitive = false;
   // To the answer or, for a stream, to the first event.
   Duration expected_latency{0};
+  // Only where flows between failure domains are controlled.
+  CrossingReason left_domain = CrossingReason::kNone;
 };
 
 enum class PlacementRefusal {
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -118,6 +118,7 @@
   m_changed_loads.clear();
   digest.backlogs = LocalBacklogs(now);
   digest.first_events = LocalFirstEvents();
+  digest.flows = LocalFlows(now);
   digest.cached_parts = TakeFront(m_parts_to_send);
   digest.speeds = TakeSpeedsToSend(now);
   m_has_pending_changes =
@@ -174,6 +175,8 @@
       }
     }
   }
+  digest.flows = MakeFlowDigest(SumFlows(
+      [&](const InstanceName& name) { return group.contains(name); }, now));
   for (const auto& [name, state] : m_states) {
     DecayPrefillLoads(*state, now);
     UpstreamLoad load = state->local_load;
@@ -206,6 +209,8 @@
   const ServiceBacklogs backlogs = TotalBacklogs(now);
   ServiceFirstEvents first_events = LocalFirstEvents();
   AddFirstEvents(first_events, PeerFirstEvents());
+  const FlowTotals flow_totals =
+      SumFlows([](const InstanceName&) { return true; }, now);
   std::vector<std::pair<UpstreamState*, UpstreamLoad>> totals;
   for (const auto& [name, state] : m_states) {
     DecayPrefillLoads(*state, now);
@@ -228,6 +233,10 @@
     SubtractBacklogs(digest.backlogs, peer.digest.backlogs);
     digest.first_events = first_events;
     SubtractFirstEvents(digest.first_events, peer.digest.first_events);
+    FlowTotals others = flow_totals;
+    SubtractDemands(others.demands, peer.digest.flows.demands);
+    SubtractFlows(others.flows, peer.digest.flows.flows);
+    digest.flows = MakeFlowDigest(others);
     for (const auto& [state, total] : totals) {
       UpstreamLoad load = total;
       if (const auto peer_load = state->peer_loads.find(name);
@@ -456,6 +465,7 @@
   found->second.counted_upstreams.clear();
   found->second.digest.backlogs.clear();
   found->second.digest.first_events.clear();
+  found->second.digest.flows = {};
 }
 
 bool Router::IsConfigBehind(const PeerDigest& digest) const {
