--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -53,6 +53,8 @@
 constexpr milliseconds kDrainPollInterval{20};
 constexpr Duration kFileCheckInterval = seconds(1);
 constexpr Duration kEstimateLogInterval = seconds(10);
+// Changes of the speeds of upstreams; a few lines at a time.
+constexpr Duration kSpeedLogInterval = seconds(1);
 // Some callers cache addresses for three times their TTL.
 constexpr int kAddressTtlFactor = 3;
 constexpr milliseconds kDrainMargin{500};
@@ -502,6 +504,10 @@
         m_estimates_logged_at = now;
         LogEngineEstimates(now);
       }
+      if (now - m_speeds_logged_at >= kSpeedLogInterval) {
+        m_speeds_logged_at = now;
+        LogSpeedChanges();
+      }
       if (now - m_file_checked_at >= kFileCheckInterval) {
         m_file_checked_at = now;
         ReloadIfChanged();
@@ -537,6 +543,22 @@
     }
   }
 
+  void LogSpeedChanges() {
+    const SpeedChanges changes = m_router.TakeSpeedChanges();
+    if (changes.count > 0) {
+      m_metrics.events["upstream_speed_changes"] += changes.count;
+    }
+    for (const SpeedChange& change : changes.noted) {
+      m_log.Write(LogLevel::kInfo, "upstream-speed-changed",
+                  {{"upstream", change.upstream.value},
+                   {"factor", fmt::format("{:.2f}", change.factor)},
+                   {"weight", fmt::format("{:.1f}", change.weight)},
+                   {"failure_rate", fmt::format("{:.2f}", change.failure_rate)},
+                   {"age_ms", fmt::format("{:.0f}", ToMillis(change.age))},
+                   {"changes", std::to_string(changes.count)}});
+    }
+  }
+
   void LogEngineEstimates(Time now) {
     for (const auto& [service, engines] : m_router.Engines()) {
       if (engines.observations == 0) {
@@ -655,6 +677,7 @@
       FileTime();
   Time m_file_checked_at;
   Time m_estimates_logged_at;
+  Time m_speeds_logged_at;
   const WireCodec m_codec;
   const StoreCodec m_store_codec;
   const std::unique_ptr<Store> m_store;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -124,6 +124,13 @@
         "pomeloring_upstream_ejected{{upstream=\"{0}\"}} {3}\n",
         upstream->record.id.value, load.running, PendingPrefillTokens(load),
         now < upstream->health.ejected_until ? 1 : 0);
+    if (upstream->shared_speed) {
+      out += fmt::format(
+          "pomeloring_upstream_speed_factor{{upstream=\"{0}\"}} {1:.2f}\n"
+          "pomeloring_upstream_failure_rate{{upstream=\"{0}\"}} {2:.3f}\n",
+          upstream->record.id.value, upstream->shared_speed->factor,
+          upstream->shared_speed->failure_rate);
+    }
     const Backpressure& asked = upstream->backpressure;
     if (asked.is_leaving) {
       out += fmt::format("pomeloring_upstream_leaving{{upstream=\"{}\"}} 1\n",
--- a/src/routing/engine_estimate.cc
+++ b/src/routing/engine_estimate.cc
@@ -150,6 +150,22 @@
       kMinDelayMs, kMaxDelayMs);
 }
 
+void ScaleFirstEvents(EngineEstimate& estimate, double factor) {
+  estimate.first_event_delay_ms = std::clamp(
+      estimate.first_event_delay_ms * factor, kMinDelayMs, kMaxDelayMs);
+  estimate.prefill_ms_per_token =
+      std::clamp(estimate.prefill_ms_per_token * factor, kMinPrefillMsPerToken,
+                 kMaxPrefillMsPerToken);
+  // As if each observation had taken `factor` times as long; see
+  // AddObservation().
+  FirstEventSums& sums = estimate.sums;
+  sums.weight /= factor * factor;
+  sums.tokens /= factor * factor;
+  sums.tokens_squared /= factor * factor;
+  sums.ms /= factor;
+  sums.tokens_ms /= factor;
+}
+
 // A step of quantile regression on the slots in use.
 void RecordTokenTime(EngineEstimate& estimate,
                      double token_ms,
--- a/src/routing/engine_estimate.h
+++ b/src/routing/engine_estimate.h
@@ -82,6 +82,10 @@
                       Duration elapsed,
                       Time now);
 
+// Multiplies the expected times to a first event, and what they rest on, by
+// `factor`, which is positive.
+void ScaleFirstEvents(EngineEstimate& estimate, double factor);
+
 // Records the time between two events of a stream, divided by the tokens of the
 // second, while `fraction` of the engine's slots were in use.
 void RecordTokenTime(EngineEstimate& estimate,
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -322,9 +322,16 @@
     Time departed_at;
   };
 
+  struct FirstEventSample {
+    uint32_t upstream = 0;  // See SpeedKeyOf().
+    double tokens = 0;
+    double ms = 0;
+  };
+
   // What instances share of the upstreams of one service.
   struct ServiceSpeeds {
     SpeedPool pool;
+    std::vector<FirstEventSample> samples;  // See CalibrateEstimate().
     EstimateBias first_event_bias;
     EstimateBias token_time_bias;
   };
@@ -405,6 +412,9 @@
   std::vector<SpeedObservation> TakeSpeedsToSend(Time now);
   void ApplySpeeds(const PeerDigest& digest, Time now);
   void IndexSpeeds();
+  void CalibrateEstimate(const ServiceName& name,
+                         const ServiceSpeeds& speeds,
+                         Time now);
   // Discards what was observed of a process that has ended.
   void ForgetSpeed(const UpstreamState& ended);
   // Updates `shared_speed` of all upstreams, if that was not done just now.
--- a/src/routing/router_speeds.cc
+++ b/src/routing/router_speeds.cc
@@ -15,6 +15,9 @@
 // second one.
 constexpr double kSlowFactor = 2;
 constexpr double kNoLongerSlowFactor = 1.6;
+// The estimate is calibrated until it rests on this many observations.
+constexpr size_t kCalibrationSamples = 30;
+constexpr size_t kMinCalibrationSamples = 3;
 // More changes at once are counted only.
 constexpr size_t kMaxSpeedChanges = 8;
 // Preferred engines for shared prompt parts follow the factor in steps of this
@@ -59,9 +62,14 @@
   }
   const double factor = SharedFactorOf(*attempt.upstream);
   if (attempt.had_free_slot) {
+    ServiceSpeeds& speeds = m_speeds[attempt.service];
+    if (speeds.samples.size() < kCalibrationSamples) {
+      const double tokens = attempt.placement.pending_prefill_tokens;
+      speeds.samples.push_back(
+          {KeyOf(*attempt.upstream), tokens, ToMillis(elapsed)});
+    }
     ShareDuration(
-        attempt, kFirstEventWeight, m_speeds[attempt.service].first_event_bias,
-        ToMillis(elapsed),
+        attempt, kFirstEventWeight, speeds.first_event_bias, ToMillis(elapsed),
         ExpectedFirstEventMs(m_engines[attempt.service], 0,
                              attempt.placement.pending_prefill_tokens),
         now);
@@ -201,6 +209,9 @@
   for (auto& [name, speeds] : m_speeds) {
     UpdateSpeedPool(speeds.pool, now);
     const bool is_shared = SharesSpeeds(name);
+    if (is_shared) {
+      CalibrateEstimate(name, speeds, now);
+    }
     for (UpstreamState* state : m_by_service[name]) {
       const uint32_t key = KeyOf(*state);
       if (!is_shared || !speeds.pool.upstreams.contains(key)) {
@@ -223,6 +234,30 @@
   }
 }
 
+// An instance makes its first observations before it knows the speeds of the
+// upstreams, and takes the estimate for that of the mean one. While there are
+// few, the estimate is corrected for what has become known of their upstreams
+// since: by the median, which prefill that nobody has told of yet barely moves.
+void Router::CalibrateEstimate(const ServiceName& name,
+                               const ServiceSpeeds& speeds,
+                               Time now) {
+  EngineEstimate& estimate = m_engines[name];
+  if (speeds.samples.size() < kMinCalibrationSamples ||
+      estimate.observations > kCalibrationSamples) {
+    return;
+  }
+  std::vector<double> ratios;
+  for (const FirstEventSample& sample : speeds.samples) {
+    const double expected_ms =
+        SpeedFactorOf(speeds.pool, sample.upstream, now) *
+        ExpectedFirstEventMs(estimate, 0, sample.tokens);
+    ratios.push_back(sample.ms / expected_ms);
+  }
+  const auto middle = ratios.begin() + static_cast<long>(ratios.size() / 2);
+  std::nth_element(ratios.begin(), middle, ratios.end());
+  ScaleFirstEvents(estimate, *middle);
+}
+
 void Router::NoteSpeedChange(const UpstreamState& upstream,
                              const SharedSpeed& shared,
                              Time now) {
--- a/src/speeds/upstream_speed.cc
+++ b/src/speeds/upstream_speed.cc
@@ -8,17 +8,19 @@
 
 constexpr double kDecayTimeMs = 6000;
 // An upstream is observed several times in this time where speeds matter.
-constexpr double kRecentTimeMs = 300;
-// The recent observations replace all earlier ones if they have at least this
-// weight and differ by at least this much: by 1.6 times, which the noise of a
-// few observations does not reach.
-constexpr double kMinRecentWeight = 1.2;
+constexpr double kRecentTimeMs = 500;
+// The recent observations replace all earlier ones if they differ by at least
+// this much (1.6 times) and their weight times the square of the difference is
+// at least this: for 3 times, one or two events of streams; for 1.6 times, six.
+// Single events that waited for some prefill are off by that much.
 constexpr double kChangeLog = 0.47;
+constexpr double kMinChangeEvidence = 0.35;
 // While nothing new is observed, the last value keeps up to this weight.
 constexpr double kKeptWeight = 2;
 constexpr Duration kRetention = seconds(60);
-// The mean upstream counts as an observation of this weight.
-constexpr double kPriorWeight = 1;
+// The mean upstream counts as an observation of this weight: an upstream that
+// has just changed rests on few observations, too.
+constexpr double kPriorWeight = 0.3;
 // As many attempts are taken to have been served.
 constexpr double kPriorServed = 2;
 constexpr double kMinFactor = 0.25;
@@ -136,8 +138,9 @@
   if (added.weight > 0) {
     speed.last_seen_at = now;
   }
-  if (speed.recent.weight >= kMinRecentWeight &&
-      std::abs(MeanLog(speed.recent) - MeanLog(speed.sums)) > kChangeLog) {
+  const double change = MeanLog(speed.recent) - MeanLog(speed.sums);
+  if (std::abs(change) > kChangeLog &&
+      speed.recent.weight * change * change > kMinChangeEvidence) {
     speed.sums.weight = speed.recent.weight;
     speed.sums.weighted_log = speed.recent.weighted_log;
   }
--- a/src/speeds/upstream_speed.h
+++ b/src/speeds/upstream_speed.h
@@ -18,7 +18,7 @@
 
 // Weights of one observation, relative to that of a first event.
 inline constexpr double kFirstEventWeight = 1;
-inline constexpr double kTokenTimeWeight = 0.1;
+inline constexpr double kTokenTimeWeight = 0.25;
 
 // An entry takes up to 16 bytes in a digest, and all entries up to 400.
 inline constexpr size_t kMaxSpeedsPerDigest = 25;
