--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -368,7 +368,13 @@
   RecordStart(attempt->upstream->backpressure, now);
   const UpstreamLoad load_before = TotalLoad(*attempt->upstream);
   attempt->no_prefill_ahead = PendingPrefillTokens(load_before) == 0;
-  attempt->had_free_slot = load_before.running < attempt->batch_slots;
+  if (load_before.running < attempt->batch_slots) {
+    attempt->mean_first_event_ms =
+        ExpectedFirstEventMs(m_engines[request.service],
+                             static_cast<double>(PendingPrefillUpTo(
+                                 load_before, attempt->placement.rank)),
+                             attempt->placement.pending_prefill_tokens);
+  }
   UpstreamLoad& local_load = attempt->upstream->local_load;
   ++local_load.running;
   local_load.pending_prefill_tokens[attempt->placement.rank] +=
@@ -426,10 +432,11 @@
   attempt.upstream->local_load.pending_prefill_tokens[attempt.placement.rank] -=
       attempt.placement.pending_prefill_tokens;
   const Duration elapsed = now - attempt.started;
+  const Duration mean_elapsed = ShareFirstEvent(attempt, elapsed, now);
   if (attempt.no_prefill_ahead) {
     RecordFirstEvent(m_engines[attempt.service],
-                     attempt.placement.pending_prefill_tokens,
-                     ShareFirstEvent(attempt, elapsed, now), now);
+                     attempt.placement.pending_prefill_tokens, mean_elapsed,
+                     now);
   }
   if (!attempt.upstream->shared_speed) {
     RecordLatency(attempt.upstream->health, attempt.placement.expected_latency,
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -63,7 +63,9 @@
   Time started;
   // No prefill was pending at the upstream when the attempt started.
   bool no_prefill_ahead = false;
-  bool had_free_slot = false;  // At an engine, as far as known.
+  // To the first event at the service's mean engine, behind the prefill that
+  // was pending; 0 for a plain service, or behind requests for a slot.
+  double mean_first_event_ms = 0;
   // Tells whether upstreams still exit under a trait; see AssessRequest().
   bool is_trial = false;
   bool has_first_event = false;
--- a/src/routing/router_speeds.cc
+++ b/src/routing/router_speeds.cc
@@ -18,6 +18,12 @@
 // The estimate is calibrated until it rests on this many observations.
 constexpr size_t kCalibrationSamples = 30;
 constexpr size_t kMinCalibrationSamples = 3;
+// A first event behind other prefill counts only if it is late by this factor
+// (1.6, as a logarithm), however fast the prefill went that peers have told of:
+// an engine that becomes slow has prefill pending all the time. Prefill that
+// nobody has told of yet is the other reason, hence the lower weight.
+constexpr double kLateLog = 0.47;
+constexpr double kLateEventWeight = 0.5;
 // More changes at once are counted only.
 constexpr size_t kMaxSpeedChanges = 8;
 // Preferred engines for shared prompt parts follow the factor in steps of this
@@ -61,18 +67,27 @@
     return elapsed;
   }
   const double factor = SharedFactorOf(*attempt.upstream);
-  if (attempt.had_free_slot) {
+  if (attempt.mean_first_event_ms > 0) {
     ServiceSpeeds& speeds = m_speeds[attempt.service];
-    if (speeds.samples.size() < kCalibrationSamples) {
-      const double tokens = attempt.placement.pending_prefill_tokens;
-      speeds.samples.push_back(
-          {KeyOf(*attempt.upstream), tokens, ToMillis(elapsed)});
+    EstimateBias& bias = speeds.first_event_bias;
+    const double elapsed_ms = ToMillis(elapsed);
+    if (attempt.no_prefill_ahead) {
+      if (speeds.samples.size() < kCalibrationSamples) {
+        const double tokens = attempt.placement.pending_prefill_tokens;
+        speeds.samples.push_back(
+            {KeyOf(*attempt.upstream), tokens, elapsed_ms});
+      }
+      ShareDuration(attempt, kFirstEventWeight, bias, elapsed_ms,
+                    attempt.mean_first_event_ms, now);
+    } else if (const double log =
+                   std::log(elapsed_ms / attempt.mean_first_event_ms) -
+                   bias.log;
+               log > std::log(factor) + kLateLog) {
+      ShareObservation(
+          attempt,
+          MakeSpeedObservation(KeyOf(*attempt.upstream), kLateEventWeight, log),
+          now);
     }
-    ShareDuration(
-        attempt, kFirstEventWeight, speeds.first_event_bias, ToMillis(elapsed),
-        ExpectedFirstEventMs(m_engines[attempt.service], 0,
-                             attempt.placement.pending_prefill_tokens),
-        now);
   }
   return Duration{
       static_cast<int64_t>(static_cast<double>(elapsed.count()) / factor)};
