--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -64,7 +64,9 @@
   Time started;
   // No prefill was pending at the upstream when the attempt started.
   bool no_prefill_ahead = false;
-  bool had_free_slot = false;  // At an engine, as far as known.
+  // To the first event at the service's mean engine, behind the prefill that
+  // was pending; 0 for a plain service, or behind requests for a slot.
+  double mean_first_event_ms = 0;
   // Tells whether upstreams still exit under a trait; see AssessRequest().
   bool is_trial = false;
   bool has_first_event = false;
@@ -362,9 +364,16 @@
     Time departed_at;
   };
 
+  struct FirstEventSample {
+    uint32_t upstream = 0;  // See SpeedKeyOf().
+    double tokens = 0;
+    double ms = 0;
+  };
+
   // What instances share of the upstreams of one service.
   struct ServiceSpeeds {
     SpeedPool pool;
+    std::vector<FirstEventSample> samples;  // See CalibrateEstimate().
     EstimateBias first_event_bias;
     EstimateBias token_time_bias;
   };
@@ -452,6 +461,9 @@
   std::vector<SpeedObservation> TakeSpeedsToSend(Time now);
   void ApplySpeeds(const PeerDigest& digest, Time now);
   void IndexSpeeds();
+  void CalibrateEstimate(const ServiceName& name,
+                         const ServiceSpeeds& speeds,
+                         Time now);
   // Discards what was observed of a process that has ended.
   void ForgetSpeed(const UpstreamState& ended);
   // Updates `shared_speed` of all upstreams, if that was not done just now.
--- a/src/routing/router_speeds.cc
+++ b/src/routing/router_speeds.cc
@@ -15,6 +15,15 @@
 // second one.
 constexpr double kSlowFactor = 2;
 constexpr double kNoLongerSlowFactor = 1.6;
+// The estimate is calibrated until it rests on this many observations.
+constexpr size_t kCalibrationSamples = 30;
+constexpr size_t kMinCalibrationSamples = 3;
+// A first event behind other prefill counts only if it is late by this factor
+// (1.6, as a logarithm), however fast the prefill went that peers have told of:
+// an engine that becomes slow has prefill pending all the time. Prefill that
+// nobody has told of yet is the other reason, hence the lower weight.
+constexpr double kLateLog = 0.47;
+constexpr double kLateEventWeight = 0.5;
 // More changes at once are counted only.
 constexpr size_t kMaxSpeedChanges = 8;
 // Preferred engines for shared prompt parts follow the factor in steps of this
@@ -58,13 +67,27 @@
     return elapsed;
   }
   const double factor = SharedFactorOf(*attempt.upstream);
-  if (attempt.had_free_slot) {
-    ShareDuration(
-        attempt, kFirstEventWeight, m_speeds[attempt.service].first_event_bias,
-        ToMillis(elapsed),
-        ExpectedFirstEventMs(m_engines[attempt.service], 0,
-                             attempt.placement.pending_prefill_tokens),
-        now);
+  if (attempt.mean_first_event_ms > 0) {
+    ServiceSpeeds& speeds = m_speeds[attempt.service];
+    EstimateBias& bias = speeds.first_event_bias;
+    const double elapsed_ms = ToMillis(elapsed);
+    if (attempt.no_prefill_ahead) {
+      if (speeds.samples.size() < kCalibrationSamples) {
+        const double tokens = attempt.placement.pending_prefill_tokens;
+        speeds.samples.push_back(
+            {KeyOf(*attempt.upstream), tokens, elapsed_ms});
+      }
+      ShareDuration(attempt, kFirstEventWeight, bias, elapsed_ms,
+                    attempt.mean_first_event_ms, now);
+    } else if (const double log =
+                   std::log(elapsed_ms / attempt.mean_first_event_ms) -
+                   bias.log;
+               log > std::log(factor) + kLateLog) {
+      ShareObservation(
+          attempt,
+          MakeSpeedObservation(KeyOf(*attempt.upstream), kLateEventWeight, log),
+          now);
+    }
   }
   return Duration{
       static_cast<int64_t>(static_cast<double>(elapsed.count()) / factor)};
@@ -201,6 +224,9 @@
   for (auto& [name, speeds] : m_speeds) {
     UpdateSpeedPool(speeds.pool, now);
     const bool is_shared = SharesSpeeds(name);
+    if (is_shared) {
+      CalibrateEstimate(name, speeds, now);
+    }
     for (UpstreamState* state : m_by_service[name]) {
       const uint32_t key = KeyOf(*state);
       if (!is_shared || !speeds.pool.upstreams.contains(key)) {
@@ -252,6 +278,32 @@
   }
 }
 
+// An instance makes its first observations before it knows the speeds of the
+// upstreams, and takes the estimate for that of the mean one. While there are
+// few, the estimate is corrected for what has become known of their upstreams
+// since: by the median, which prefill that nobody has told of yet barely moves.
+// What other instances have observed does the same, and better.
+void Router::CalibrateEstimate(const ServiceName& name,
+                               const ServiceSpeeds& speeds,
+                               Time now) {
+  EngineEstimate& estimate = m_engines[name];
+  if (estimate.peer_sums.weight > 0 ||
+      speeds.samples.size() < kMinCalibrationSamples ||
+      estimate.observations > kCalibrationSamples) {
+    return;
+  }
+  std::vector<double> ratios;
+  for (const FirstEventSample& sample : speeds.samples) {
+    const double expected_ms =
+        SpeedFactorOf(speeds.pool, sample.upstream, now) *
+        ExpectedFirstEventMs(estimate, 0, sample.tokens);
+    ratios.push_back(sample.ms / expected_ms);
+  }
+  const auto middle = ratios.begin() + static_cast<long>(ratios.size() / 2);
+  std::nth_element(ratios.begin(), middle, ratios.end());
+  ScaleFirstEvents(estimate, *middle);
+}
+
 void Router::NoteSpeedChange(const UpstreamState& upstream,
                              const SharedSpeed& shared,
                              Time now) {
