--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -68,6 +68,11 @@
   return m_received_at + m_timeout - Now();
 }
 
+bool Exchange::HasRun() const {
+  return m_may_have_executed || m_executed_attempts > 0 || m_stream_started ||
+         m_origin.has_value();
+}
+
 bool Exchange::ShouldKeepAlive() const {
   return m_keep_alive && m_request.keep_alive() && !m_gateway.close_after_reply;
 }
@@ -121,6 +126,9 @@
   if (m_metadata.time_left) {
     m_timeout = std::min(m_timeout, *m_metadata.time_left);
   }
+  if (m_account != nullptr) {
+    m_account_id = AccountIdOf(m_account->name.value);
+  }
   m_service = ChooseService(*m_route, StableHash(m_metadata.id));
   m_whole_request = IdOfRequest(
       {m_account == nullptr ? std::string_view() : m_account->name.value,
@@ -181,9 +189,15 @@
                                          TimeLeft(),
                                          m_failed_upstreams,
                                          VersionOf(m_origin),
-                                         StableHash(m_metadata.id)};
+                                         StableHash(m_metadata.id),
+                                         m_account_id,
+                                         m_account ? m_account->priority : 0,
+                                         HasRun()};
     auto result = m_gateway.router.StartAttempt(attempt_request, now);
-    if (std::holds_alternative<Deferred>(result)) {
+    if (const auto* deferred = std::get_if<Deferred>(&result)) {
+      if (deferred->share && deferred->share->is_new) {
+        LogShare("share-wait", *deferred->share);
+      }
       if (!co_await WaitForCapacity()) {
         co_return;
       }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -75,10 +75,13 @@
   bool ShouldRetry(AttemptEnd end);
   UpstreamOutcome OutcomeOf(AttemptEnd end) const;
   Duration TimeLeft() const;
+  // Whether an upstream may have run the request or a part of it.
+  bool HasRun() const;
   bool ShouldKeepAlive() const;
   void ArmDeadline();
   void StopAttempt();
   void LogQuarantine(const RequestTrait& trait) const;
+  void LogShare(std::string_view event, const ShareDecision& share) const;
   void LogResult();
 
   GatewayContext& m_gateway;
@@ -88,6 +91,7 @@
   std::shared_ptr<const RoutingConfig> m_config;
   const Route* m_route = nullptr;
   const RoutedAccount* m_account = nullptr;
+  AccountId m_account_id = kNoAccount;
   RequestMetadata m_metadata;
   ServiceName m_service;
   TraitId m_whole_request = 0;
--- a/src/gateway/exchange_replies.cc
+++ b/src/gateway/exchange_replies.cc
@@ -22,6 +22,9 @@
               "upstreams exit under this request or a part of its prompt"};
     case PlacementRefusal::kNoSlot:
       return {503, "no-slot", "more urgent requests need the free slots"};
+    case PlacementRefusal::kOverShare:
+      return {503, "over-fair-share",
+              "other accounts need the capacity; this one uses over its share"};
     case PlacementRefusal::kNoUpstream:
       break;
   }
@@ -43,8 +46,9 @@
     m_gateway.router.RecordRefusal(m_service, Now());
   }
   LocalReply reply = RefusalReply(unplaced.reason);
-  // For want of a slot, a caller may be told to return sooner.
-  reply.retry_after = unplaced.reason == PlacementRefusal::kNoSlot
+  // For want of a slot or share, a caller may be told to return sooner.
+  reply.retry_after = unplaced.reason == PlacementRefusal::kNoSlot ||
+                              unplaced.reason == PlacementRefusal::kOverShare
                           ? unplaced.retry_after
                           : std::max(unplaced.retry_after, kDefaultRetryAfter);
   if (m_origin && unplaced.reason == PlacementRefusal::kNoUpstream) {
@@ -75,12 +79,35 @@
        {"retry_after_ms", fmt::format("{:.0f}", ToMillis(reply.retry_after))},
        {"upstreams_as_of",
         std::to_string(m_gateway.router.Upstreams().as_of.value)}});
+  if (unplaced.reason == PlacementRefusal::kOverShare) {
+    LogShare("share-refused", unplaced.share);
+  }
   if (unplaced.reason == PlacementRefusal::kQuarantined) {
     LogQuarantine(unplaced.quarantined_trait);
   }
   co_await SendLocalReply(std::move(reply));
 }
 
+void Exchange::LogShare(std::string_view event,
+                        const ShareDecision& share) const {
+  m_gateway.log.Write(
+      LogLevel::kInfo, event,
+      {{"request", m_metadata.id},
+       {"route", m_route->name},
+       {"account", m_account ? m_account->name.value : ""},
+       {"account_priority",
+        std::to_string(m_account ? m_account->priority : 0)},
+       {"work", fmt::format("{:.0f}", share.work)},
+       {"fair_share", fmt::format("{:.0f}", share.fair_share)},
+       {"free_slots", fmt::format("{:.0f}", share.free_slots)},
+       {"engines", std::to_string(share.engines)},
+       {"ahead", std::to_string(share.ahead)},
+       {"share_age_ms", fmt::format("{:.0f}", ToMillis(share.share_age))},
+       {"load_age_ms", fmt::format("{:.0f}", ToMillis(share.load_age))},
+       {"waited_ms", fmt::format("{:.0f}", ToMillis(Now() - m_received_at))},
+       {"retry_after_ms", fmt::format("{:.0f}", ToMillis(share.retry_after))}});
+}
+
 // Names the upstreams' processes as "upstream-exited" does.
 void Exchange::LogQuarantine(const RequestTrait& trait) const {
   const auto& traits = m_gateway.router.Quarantine().traits;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -77,6 +77,15 @@
       }
     }
   }
+  for (const auto& [service, shares] : router.Accounts()) {
+    out += fmt::format(
+        "pomeloring_share_waits_total{{service=\"{0}\"}} {1}\n"
+        "pomeloring_share_refusals_total{{service=\"{0}\"}} {2}\n"
+        "pomeloring_share_returns_total{{service=\"{0}\"}} {3}\n"
+        "pomeloring_share_accounts{{service=\"{0}\"}} {4}\n",
+        service.value, shares.waits, shares.refusals, shares.returns,
+        shares.total.size());
+  }
   const auto config = router.Config();
   out += fmt::format(
       "pomeloring_config_version {}\npomeloring_newest_config_version {}\n"
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -1,7 +1,9 @@
 #include "gateway/peer_codec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
+#include <utility>
 
 #include "peer_digest.pb.h"
 
@@ -57,6 +59,35 @@
   return milliseconds{std::clamp(ms, -kMaxNoticeMillis, kMaxNoticeMillis)};
 }
 
+void EncodeAccountWork(const ServiceAccountWork& work, wire::PeerDigest& out) {
+  for (const auto& [service, accounts] : work) {
+    bool is_first = true;
+    for (const auto& [account, account_work] : accounts) {
+      wire::AccountWork& entry = *out.add_account_work();
+      entry.set_account(account);
+      if (std::exchange(is_first, false)) {
+        entry.set_service(service.value);
+      }
+      entry.set_work(static_cast<float>(account_work));
+    }
+  }
+}
+
+// Other values than positive ones are not sent by any instance.
+ServiceAccountWork DecodeAccountWork(const wire::PeerDigest& in) {
+  ServiceAccountWork work;
+  ServiceName service;
+  for (const wire::AccountWork& entry : in.account_work()) {
+    if (!entry.service().empty()) {
+      service.value = entry.service();
+    }
+    if (std::isfinite(entry.work()) && entry.work() > 0) {
+      work[service][entry.account()] += entry.work();
+    }
+  }
+  return work;
+}
+
 TraitNotice DecodeTraitNotice(const wire::TraitNotice& in) {
   TraitNotice notice;
   notice.trait = in.trait();
@@ -151,6 +182,7 @@
     entry.set_waiting(backlog.waiting);
     entry.set_refused(backlog.refused);
   }
+  EncodeAccountWork(digest.account_work, out);
   return out.SerializeAsString();
 }
 
@@ -224,6 +256,7 @@
   for (const wire::ServiceBacklog& entry : in.backlogs()) {
     digest.backlogs[{entry.service()}] = {entry.waiting(), entry.refused()};
   }
+  digest.account_work = DecodeAccountWork(in);
   return digest;
 }
 
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "admission/account_shares.h"
 #include "core/ids.h"
 #include "duties/duty_notice.h"
 #include "routing/exit_notice.h"
@@ -71,6 +72,9 @@
   DutyNotice duties;
   // Of the same instances as `loads`, always whole.
   ServiceBacklogs backlogs;
+  // Of the same instances as `loads`, always whole: at most
+  // kMaxReportedAccounts accounts, and the others together.
+  ServiceAccountWork account_work;
 };
 
 // Splits a digest with many loads into several that fit into a datagram each.
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "admission/account_shares.h"
 #include "admission/slot_admission.h"
 #include "isolation/stream_isolation.h"
 #include "routing/engine_estimate.h"
@@ -64,6 +65,8 @@
   kQuarantined,  // Upstreams exit under one of its traits.
   // Higher priorities need the free slots, and none will be left in time.
   kNoSlot,
+  // Its account is over its fair share, which others need.
+  kOverShare,
 };
 
 struct Unplaced {
@@ -82,12 +85,15 @@
   Duration estimate_age{0};
   RequestTrait quarantined_trait;  // For kQuarantined.
   SlotDecision slots;              // For kNoSlot.
+  ShareDecision share;             // For kOverShare.
 };
 
 // The request should wait and be placed later: all upstreams are full, a higher
-// priority was refused recently, or its prefill would cost the streams that
-// run there more than waiting costs the request.
-struct Deferred {};
+// priority was refused recently, its prefill would cost the streams that run
+// there more than waiting costs the request, or its account is over its share.
+struct Deferred {
+  std::optional<ShareDecision> share;  // For the last reason only.
+};
 
 using PlacementResult = std::variant<Placement, Deferred, Unplaced>;
 
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -285,6 +285,9 @@
     unplaced.quarantined_trait = assessment.trait;
     return unplaced;
   }
+  if (auto held = HoldForShare(request, service->second, now)) {
+    return *held;
+  }
   auto candidates = CollectCandidates(request.service, now);
   if (request.software_version) {
     std::erase_if(candidates, [&](const UpstreamState* candidate) {
@@ -327,9 +330,14 @@
     if (unplaced->reason == PlacementRefusal::kOverloaded) {
       m_last_refusals[request.service][request.route->priority] = now;
     }
+    if (unplaced->reason == PlacementRefusal::kOverloaded ||
+        unplaced->reason == PlacementRefusal::kNoSlot) {
+      NoteUnplaced(request, now);
+    }
     return *unplaced;
   }
   if (std::holds_alternative<Deferred>(result)) {
+    NoteUnplaced(request, now);
     return Deferred{};
   }
   auto attempt = std::make_shared<PlacedAttempt>();
@@ -358,6 +366,7 @@
       service->second.engine ? service->second.engine->batch_slots : 0;
   attempt->priority = request.route->priority;
   RecordSlotUse(request, now);
+  RecordWork(request, attempt->placement.pending_prefill_tokens, now);
   RecordStart(attempt->upstream->backpressure, now);
   const UpstreamLoad load_before = TotalLoad(*attempt->upstream);
   attempt->no_prefill_ahead = PendingPrefillTokens(load_before) == 0;
@@ -693,6 +702,7 @@
   DivideLimits(now);
   UpdateSlots(now);
   UpdateIsolation(now);
+  UpdateAccounts(now);
   UpdatePeerPaths(now);
   UpdateVersions(now);
   ProcessExits(now);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -14,6 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission/account_shares.h"
 #include "isolation/stream_isolation.h"
 #include "routing/baseline_policies.h"
 #include "routing/exit_watch.h"
@@ -87,6 +88,11 @@
   std::optional<std::string> software_version;
   // Identifies the request among those of this instance that wait; 0: none.
   uint64_t ticket = 0;
+  AccountId account = kNoAccount;
+  uint32_t account_priority = 0;  // 0 is the highest.
+  // An upstream may have run it, or a part of its stream: it may not be refused
+  // as if it had not run.
+  bool has_run = false;
 };
 
 using StartAttemptResult =
@@ -296,6 +302,10 @@
   const std::map<ServiceName, IsolatedEngines>& Isolated() const {
     return m_isolated;
   }
+  // Of services that accounts share fairly.
+  const std::map<ServiceName, AccountShares>& Accounts() const {
+    return m_accounts;
+  }
 
  private:
   struct DepartedUpstream {
@@ -353,6 +363,28 @@
   bool IsolatesStreams(const RoutedService& service) const;
   void RecordSlotUse(const AttemptRequest& request, Time now);
   void RecordSlotTime(const PlacedAttempt& attempt, Time now);
+  // Returns null unless accounts share the service fairly.
+  AccountShares* SharesOf(const RoutedService& service);
+  ShareQuestion ShareQuestionOf(const AttemptRequest& request,
+                                uint32_t prefill_tokens);
+  // Returns a result for a request that may not be placed now, since its
+  // account is over its share.
+  std::optional<StartAttemptResult> HoldForShare(const AttemptRequest& request,
+                                                 const RoutedService& service,
+                                                 Time now);
+  void RecordWork(const AttemptRequest& request,
+                  uint32_t prefill_tokens,
+                  Time now);
+  void NoteUnplaced(const AttemptRequest& request, Time now);
+  void UpdateAccounts(Time now);
+  // Work by account: started here; also by the instances that this one relays
+  // for; by all instances, as far as known; and by all except `peer`.
+  ServiceAccountWork LocalAccountWork(Time now) const;
+  ServiceAccountWork GroupAccountWork(Time now) const;
+  ServiceAccountWork TotalAccountWork(Time now) const;
+  static ServiceAccountWork WorkOfOthers(const ServiceAccountWork& total,
+                                         const PeerState& peer,
+                                         Time now);
   // Divides the upstreams' limits among the instances that serve now.
   void DivideLimits(Time now);
 
@@ -386,6 +418,11 @@
   std::map<ServiceName, SlotAdmission> m_slots;
   // Of services whose streams are isolated.
   std::map<ServiceName, IsolatedEngines> m_isolated;
+  // Of services that accounts share fairly.
+  std::map<ServiceName, AccountShares> m_accounts;
+  // Of all accounts of this version of the configuration.
+  std::unordered_map<AccountId, uint32_t> m_account_priorities;
+  uint64_t m_account_priorities_version = 0;
   uint64_t m_round_robin_index = 0;  // For kRoundRobin.
   std::map<InstanceName, PeerState> m_peers;
   DutyNotice m_duties;
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -117,6 +117,7 @@
   }
   m_changed_loads.clear();
   digest.backlogs = LocalBacklogs(now);
+  digest.account_work = LocalAccountWork(now);
   digest.cached_parts = TakeFront(m_parts_to_send);
   m_has_pending_changes = !m_parts_to_send.empty();
   return digest;
@@ -157,6 +158,7 @@
       digest.changed_loads_only ? m_last_full_group_digest : now;
   std::set<InstanceName> group;
   digest.backlogs = LocalBacklogs(now);
+  digest.account_work = GroupAccountWork(now);
   for (const auto& [name, peer] : m_peers) {
     if (IsRelayedHere(peer, now)) {
       group.insert(name);
@@ -196,6 +198,7 @@
   const std::set<uint32_t> serving = ServingPeerHashes(now);
   const std::set<uint32_t> cut_off = CutOffPeerHashes(now);
   const ServiceBacklogs backlogs = TotalBacklogs(now);
+  const ServiceAccountWork account_work = TotalAccountWork(now);
   std::vector<std::pair<UpstreamState*, UpstreamLoad>> totals;
   for (const auto& [name, state] : m_states) {
     DecayPrefillLoads(*state, now);
@@ -215,6 +218,7 @@
     digest.cached_parts = parts;
     digest.backlogs = backlogs;
     SubtractBacklogs(digest.backlogs, peer.digest.backlogs);
+    digest.account_work = WorkOfOthers(account_work, peer, now);
     for (const auto& [state, total] : totals) {
       UpstreamLoad load = total;
       if (const auto peer_load = state->peer_loads.find(name);
@@ -439,6 +443,7 @@
   }
   found->second.counted_upstreams.clear();
   found->second.digest.backlogs.clear();
+  found->second.digest.account_work.clear();
 }
 
 bool Router::IsConfigBehind(const PeerDigest& digest) const {
