--- a/src/admission/account_shares.cc
+++ b/src/admission/account_shares.cc
@@ -31,10 +31,10 @@
 // A waiting request of this account, or one that was granted a start, asks
 // again within this time.
 constexpr Duration kWaiterTimeout = milliseconds(100);
-// Of its fair share, what an account with waiting requests starts at least.
-// More than the half that is promised: instances without a waiting request
-// start nothing.
-constexpr double kMinShare = 0.6;
+// Of its fair share, what an account with waiting requests starts at least, in
+// the mean. More than the half that is promised: instances without a waiting
+// request start nothing, and the others start theirs at random times.
+constexpr double kMinShare = 0.75;
 // A credit that has not been used for this long is void.
 constexpr Duration kCreditTimeout = seconds(8);
 // Instances know the loads of others as old as this. Within that time, all of
@@ -127,15 +127,18 @@
 }
 
 // Whether a new request is that of a caller that returns as it was told.
-bool ClaimPromise(AccountShares& shares, AccountId account, Time now) {
-  const auto found = shares.promises.find(account);
+bool ClaimPromise(AccountShares& shares,
+                  const ShareQuestion& question,
+                  Time now) {
+  const auto found = shares.promises.find(question.account);
   if (found == shares.promises.end()) {
     return false;
   }
   std::deque<SharePromise>& promises = found->second;
   const auto due = std::find_if(
-      promises.begin(), promises.end(),
-      [&](const SharePromise& promise) { return IsDue(promise, now); });
+      promises.begin(), promises.end(), [&](const SharePromise& promise) {
+        return promise.request == question.request && IsDue(promise, now);
+      });
   if (due == promises.end()) {
     return false;
   }
@@ -366,8 +369,8 @@
       question.account, now);
   const auto known = shares.waiters.find(question.ticket);
   const bool is_new = known == shares.waiters.end();
-  const bool is_returning = is_new ? ClaimPromise(shares, question.account, now)
-                                   : known->second.is_returning;
+  const bool is_returning =
+      is_new ? ClaimPromise(shares, question, now) : known->second.is_returning;
   ShareDecision decision;
   decision.work = WorkOf(shares, question.account);
   decision.fair_share = FairShareOf(shares, question.account_priority);
@@ -399,7 +402,7 @@
     decision.verdict = ShareVerdict::kRefuse;
     decision.retry_after = RetryAfter(decision, question.time_left, random);
     Promise(shares, question.account,
-            {now + decision.retry_after, question.work});
+            {now + decision.retry_after, question.request, question.work});
     return decision;
   }
   waiter.may_start = decision.verdict == ShareVerdict::kStart;
--- a/src/admission/account_shares.h
+++ b/src/admission/account_shares.h
@@ -53,6 +53,7 @@
 // A refused caller was told to return at `due`.
 struct SharePromise {
   Time due;
+  uint64_t request = 0;  // As ShareQuestion::request.
   double work = 0;
 };
 
@@ -72,8 +73,7 @@
   Time updated_at;
   size_t instances = 1;
 
-  // Slots of the usable engines without a request, less the requests that
-  // queue; as last measured.
+  // Of all usable engines, as last measured.
   double free_slots = 0;
   size_t engines = 0;
   Time measured_at;
@@ -100,7 +100,9 @@
   uint32_t account_priority = 0;
   uint32_t route_priority = 0;
   uint64_t ticket = 0;  // Identifies the request; 0: it has no place in order.
-  double work = 0;      // Estimated.
+  // A hash of the request's contents, the same if its caller sends it again.
+  uint64_t request = 0;
+  double work = 0;  // Estimated.
   Duration waited{0};
   Duration time_left{0};
   Duration latency_target{0};
--- a/src/routing/router_accounts.cc
+++ b/src/routing/router_accounts.cc
@@ -1,5 +1,7 @@
 // The members of Router for fair shares between client accounts.
 
+#include <algorithm>
+
 #include "routing/router.h"
 
 namespace pomeloring {
@@ -32,6 +34,7 @@
           request.account_priority,
           request.route->priority,
           request.ticket,
+          request.whole_request,
           prefill_tokens + kWorkPerOutputToken * output_tokens,
           request.waited,
           request.time_left,
@@ -55,8 +58,8 @@
       if (FindUseBlock(*state, now) == SendBlock::kNone &&
           now >= state->health.ejected_until) {
         ++engines;
-        free_slots += service.engine->batch_slots;
-        free_slots -= TotalLoad(*state).running;
+        const uint32_t slots = service.engine->batch_slots;
+        free_slots += slots - std::min(slots, TotalLoad(*state).running);
       }
     }
     MeasureSlots(*shares, free_slots, engines, now);
--- a/test/support/few_slots_site.cc
+++ b/test/support/few_slots_site.cc
@@ -68,7 +68,12 @@
   for (Duration at{0}; at < end; at += kStep) {
     const Time now = kStart + at;
     m_engines.Advance(now);
-    if (at % kDigestInterval == Duration{0}) {
+    const bool is_lost = at >= m_lost_from && at < m_lost_to;
+    if (at % kDigestInterval == Duration{0} && is_lost) {
+      for (const auto& router : m_routers) {
+        router->Tick(now);
+      }
+    } else if (at % kDigestInterval == Duration{0}) {
       SendDigests(now);
     }
     for (const LoadClass& load : loads) {
@@ -76,7 +81,7 @@
       double mean = load.arrivals_per_s * ToMillis(kStep) / 1000 *
                     (is_burst ? load.burst : 1);
       for (mean -= Exponential(); mean > 0; mean -= Exponential()) {
-        Arrive(load, now);
+        Arrive(load, is_burst, now);
       }
     }
     Poll(now);
@@ -91,11 +96,13 @@
   return -std::log(1 - uniform);
 }
 
-void FewSlotsSite::Arrive(const LoadClass& load, Time now) {
+void FewSlotsSite::Arrive(const LoadClass& load, bool is_scored, Time now) {
   const uint32_t mean = load.mean_output_tokens;
   const auto spread = static_cast<uint32_t>(NextRandom(m_random) % mean);
   m_waiting.push_back({NextRandom(m_random) % m_routers.size(), &load,
-                       std::max(1U, mean / 2 + spread), now, now, ++m_tickets});
+                       std::max(1U, mean / 2 + spread), now, now, ++m_tickets,
+                       is_scored});
+  m_accounts[load.account].arrived += is_scored ? 1 : 0;
   ++m_scores[load.route].arrived;
 }
 
@@ -110,20 +117,31 @@
     request.waited = now - waiting.arrived;
     request.time_left = request.route->timeout - request.waited;
     request.ticket = waiting.ticket;
+    request.account = waiting.load->account;
+    AccountScore unscored;
+    AccountScore& account =
+        waiting.is_scored ? m_accounts[request.account] : unscored;
     if (request.waited == Duration{0}) {
       router.CountRequest(request.service, now);
     }
     auto result = router.StartAttempt(request, now);
     if (std::holds_alternative<Deferred>(result)) {
       waiting.next_poll = now + kPollInterval;
+      account.refused += request.time_left <= Duration{0} ? 1 : 0;
       return request.time_left <= Duration{0};
     }
-    if (std::holds_alternative<Unplaced>(result)) {
+    if (const auto* unplaced = std::get_if<Unplaced>(&result)) {
+      ++account.refused;
+      account.over_share +=
+          unplaced->reason == PlacementRefusal::kOverShare ? 1 : 0;
+      account.retry_after += unplaced->retry_after;
       RouteScore& score = m_scores[waiting.load->route];
       ++score.refused;
       score.refused_late += request.waited > Duration{0} ? 1 : 0;
       return true;
     }
+    ++account.started;
+    account.waited += request.waited;
     m_engines.Start(router, std::get<std::shared_ptr<PlacedAttempt>>(result),
                     waiting.output_tokens, now, waiting.arrived);
     return true;
@@ -132,10 +150,14 @@
 
 void FewSlotsSite::SendDigests(Time now) {
   std::map<UpstreamName, UpstreamLoad> total;
+  std::vector<ServiceAccountWork> work;
+  ServiceAccountWork total_work;
   for (const auto& router : m_routers) {
     for (const UpstreamState* upstream : router->AllUpstreams()) {
       AddLoad(total[upstream->record.id], upstream->local_load);
     }
+    work.push_back(router->BuildDigest(false, false, now).account_work);
+    AddWork(total_work, work.back(), 1);
   }
   for (size_t i = 0; i < m_routers.size(); ++i) {
     PeerDigest digest;
@@ -145,6 +167,8 @@
     digest.sequence = ++m_sequence;
     digest.serving = m_serving;
     std::erase(digest.serving, m_serving[i]);
+    digest.account_work = total_work;
+    SubtractWork(digest.account_work, work[i], 1);
     for (const UpstreamState* upstream : m_routers[i]->AllUpstreams()) {
       UpstreamLoad others = total[upstream->record.id];
       SubtractLoad(others, upstream->local_load);
--- a/test/support/few_slots_site.h
+++ b/test/support/few_slots_site.h
@@ -28,6 +28,7 @@
   uint32_t prompt_tokens = 0;
   uint32_t mean_output_tokens = 0;
   double burst = 1;
+  AccountId account = kNoAccount;
 };
 
 // Of all requests of a route that arrived during or shortly after the burst.
@@ -37,6 +38,17 @@
   int refused_late = 0;  // After waiting.
 };
 
+// Of all requests of an account that arrived during the burst.
+struct AccountScore {
+  int arrived = 0;
+  int started = 0;
+  int refused = 0;  // Or not started before the timeout.
+  int over_share = 0;  // Of the refused ones, those refused for that.
+  int returned = 0;    // Requests that were refused before.
+  Duration waited{0};  // Sum over the started ones.
+  Duration retry_after{0};  // Sum over the refused ones.
+};
+
 // Each router knows the loads of all others as one relay sends them, 100 ms
 // old.
 class FewSlotsSite {
@@ -56,6 +68,12 @@
     return m_engines.Results().at(route);
   }
   const RouteScore& Score(const std::string& route) { return m_scores[route]; }
+  const AccountScore& Score(AccountId account) { return m_accounts[account]; }
+  // Digests of this time are lost.
+  void LoseDigests(Duration from, Duration to) {
+    m_lost_from = from;
+    m_lost_to = to;
+  }
   size_t StillWaiting() const { return m_waiting.size(); }
   const Router& FirstRouter() const { return *m_routers.front(); }
 
@@ -67,10 +85,11 @@
     Time arrived;
     Time next_poll;
     uint64_t ticket = 0;
+    bool is_scored = false;  // Arrived during the burst.
   };
 
   double Exponential();
-  void Arrive(const LoadClass& load, Time now);
+  void Arrive(const LoadClass& load, bool is_scored, Time now);
   void Poll(Time now);
   void SendDigests(Time now);
 
@@ -79,6 +98,9 @@
   std::vector<uint32_t> m_serving;
   std::vector<Waiting> m_waiting;
   std::map<std::string, RouteScore> m_scores;
+  std::map<AccountId, AccountScore> m_accounts;
+  Duration m_lost_from{0};
+  Duration m_lost_to{0};
   uint64_t m_sequence = 0;
   uint64_t m_tickets = 0;
   uint64_t m_random = 7;
