--- a/test/routing/account_work_reaches_all_instances_test.cc
+++ b/test/routing/account_work_reaches_all_instances_test.cc
@@ -128,6 +128,35 @@
   }
 }
 
+// A reply that says that a request has not run would let its caller send it to
+// an upstream a second time.
+TEST_CASE("A request that has run is not refused for its account's share") {
+  const auto router = FairRouter("a", true);
+  for (AccountId i = 0; i < 12; ++i) {
+    StartOne(*router, 7, 1000);
+    StartOne(*router, 100 + i, 1000);
+  }
+  const Time now = kNow + milliseconds(100);
+  router->Tick(now);
+  AttemptRequest request = RequestOn(*router, "tag", 1000);
+  request.account = 7;
+  request.ticket = 1;
+  const auto held = router->StartAttempt(request, now);
+  REQUIRE(std::holds_alternative<Deferred>(held));
+  REQUIRE(std::get<Deferred>(held).share);
+  CHECK(std::get<Deferred>(held).share->is_new);
+  request.waited = seconds(1);
+  const auto refused = router->StartAttempt(request, now);
+  REQUIRE(std::holds_alternative<Unplaced>(refused));
+  const auto& unplaced = std::get<Unplaced>(refused);
+  CHECK(unplaced.reason == PlacementRefusal::kOverShare);
+  CHECK(unplaced.retry_after > Duration{0});
+  CHECK(unplaced.retry_after <= request.time_left / 3);
+  request.has_run = true;
+  const auto goes_on = router->StartAttempt(request, now);
+  CHECK(std::holds_alternative<std::shared_ptr<PlacedAttempt>>(goes_on));
+}
+
 size_t BytesWith(AccountId accounts) {
   PeerDigest digest;
   digest.sender.value = "a";
