--- a/src/admission/account_shares.cc
+++ b/src/admission/account_shares.cc
@@ -391,9 +391,8 @@
   waiter.last_asked = now;
   const double kept =
       is_returning ? 0 : PromisedWork(shares, question.account, now);
-  const bool is_over = decision.work > kShareTolerance * decision.fair_share ||
-                       (kept > 0 && decision.work + kept >
-                                        kShareTolerance * decision.fair_share);
+  const bool is_over =
+      decision.work + kept > kShareTolerance * decision.fair_share;
   if (!waiter.may_start && is_over && DoOthersAsk(shares, question, now)) {
     const bool is_short = IsShort(shares, question.account, now);
     decision.ahead = CountAhead(shares, question, is_returning, now);
