--- a/src/routing/engine_estimate.cc
+++ b/src/routing/engine_estimate.cc
@@ -208,12 +208,13 @@
                  kMaxPrefillMsPerToken);
   // As if each observation had taken `factor` times as long; see
   // AddObservation().
-  FirstEventSums& sums = estimate.sums;
-  sums.weight /= factor * factor;
-  sums.tokens /= factor * factor;
-  sums.tokens_squared /= factor * factor;
-  sums.ms /= factor;
-  sums.tokens_ms /= factor;
+  for (FirstEventSums* sums : {&estimate.sums, &estimate.initial_sums}) {
+    sums->weight /= factor * factor;
+    sums->tokens /= factor * factor;
+    sums->tokens_squared /= factor * factor;
+    sums->ms /= factor;
+    sums->tokens_ms /= factor;
+  }
 }
 
 // A step of quantile regression on the slots in use.
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -7,10 +7,11 @@
 #include <utility>
 #include <vector>
 
+#include "admission/account_shares.h"
 #include "core/ids.h"
 #include "duties/duty_notice.h"
-#include "routing/engine_estimate.h"
 #include "flows/domain_flows.h"
+#include "routing/engine_estimate.h"
 #include "routing/exit_notice.h"
 #include "routing/request_quarantine.h"
 #include "routing/service_backlog.h"
@@ -80,6 +81,9 @@
   std::vector<SpeedObservation> speeds;
   // As `backlogs`; empty unless flows between failure domains are controlled.
   FlowDigest flows;
+  // Of the same instances as `loads`, always whole: at most
+  // kMaxReportedAccounts accounts, and the others together.
+  ServiceAccountWork account_work;
 };
 
 // Splits a digest with many loads into several that fit into a datagram each.
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -294,6 +294,9 @@
     unplaced.quarantined_trait = assessment.trait;
     return unplaced;
   }
+  if (auto held = HoldForShare(request, service->second, now)) {
+    return *held;
+  }
   auto candidates = CollectCandidates(request.service, now);
   if (request.software_version) {
     std::erase_if(candidates, [&](const UpstreamState* candidate) {
@@ -339,9 +342,14 @@
     if (unplaced->reason == PlacementRefusal::kOverloaded) {
       m_last_refusals[request.service][request.route->priority] = now;
     }
+    if (unplaced->reason == PlacementRefusal::kOverloaded ||
+        unplaced->reason == PlacementRefusal::kNoSlot) {
+      NoteUnplaced(request, now);
+    }
     return *unplaced;
   }
   if (std::holds_alternative<Deferred>(result)) {
+    NoteUnplaced(request, now);
     return Deferred{};
   }
   auto attempt = std::make_shared<PlacedAttempt>();
@@ -371,6 +379,7 @@
   attempt->priority = request.route->priority;
   RecordSlotUse(request, now);
   RecordCrossing(*attempt);
+  RecordWork(request, attempt->placement.pending_prefill_tokens, now);
   RecordStart(attempt->upstream->backpressure, now);
   const UpstreamLoad load_before = TotalLoad(*attempt->upstream);
   attempt->no_prefill_ahead = PendingPrefillTokens(load_before) == 0;
@@ -725,6 +734,7 @@
   UpdateEstimates(now);
   UpdateIsolation(now);
   UpdateFlows(now);
+  UpdateAccounts(now);
   UpdatePeerPaths(now);
   UpdateVersions(now);
   ProcessExits(now);
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -119,6 +119,7 @@
   digest.backlogs = LocalBacklogs(now);
   digest.first_events = LocalFirstEvents();
   digest.flows = LocalFlows(now);
+  digest.account_work = LocalAccountWork(now);
   digest.cached_parts = TakeFront(m_parts_to_send);
   digest.speeds = TakeSpeedsToSend(now);
   m_has_pending_changes =
@@ -162,6 +163,7 @@
   std::set<InstanceName> group;
   digest.backlogs = LocalBacklogs(now);
   digest.first_events = LocalFirstEvents();
+  digest.account_work = GroupAccountWork(now);
   for (const auto& [name, peer] : m_peers) {
     if (IsRelayedHere(peer, now)) {
       group.insert(name);
@@ -211,6 +213,7 @@
   AddFirstEvents(first_events, PeerFirstEvents());
   const FlowTotals flow_totals =
       SumFlows([](const InstanceName&) { return true; }, now);
+  const ServiceAccountWork account_work = TotalAccountWork(now);
   std::vector<std::pair<UpstreamState*, UpstreamLoad>> totals;
   for (const auto& [name, state] : m_states) {
     DecayPrefillLoads(*state, now);
@@ -237,6 +240,7 @@
     SubtractDemands(others.demands, peer.digest.flows.demands);
     SubtractFlows(others.flows, peer.digest.flows.flows);
     digest.flows = MakeFlowDigest(others);
+    digest.account_work = WorkOfOthers(account_work, peer, now);
     for (const auto& [state, total] : totals) {
       UpstreamLoad load = total;
       if (const auto peer_load = state->peer_loads.find(name);
@@ -466,6 +470,7 @@
   found->second.digest.backlogs.clear();
   found->second.digest.first_events.clear();
   found->second.digest.flows = {};
+  found->second.digest.account_work.clear();
 }
 
 bool Router::IsConfigBehind(const PeerDigest& digest) const {
