--- /dev/null
+++ b/src/memory/memory_budget.cc
@@ -0,0 +1,187 @@
+#include "memory/memory_budget.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace pomeloring {
+namespace {
+
+constexpr uint64_t kMegabyte = uint64_t{1024} * 1024;
+// Part of a process's memory for buffers, less what code, tables of upstreams
+// and idle connections take. The rest is for copies that are not counted and
+// for the allocator.
+constexpr double kBufferFraction = 0.6;
+constexpr uint64_t kFixedBytes = 24 * kMegabyte;
+constexpr uint64_t kMinLimit = 8 * kMegabyte;
+
+constexpr double kBackpressureFraction = 0.7;
+constexpr double kRefuseLargeFraction = 0.85;
+
+constexpr Duration kRetryAfterLarge = milliseconds(500);
+// Callers that take nothing are dropped after 5 s, most others end earlier.
+constexpr Duration kRetryAfterAll = seconds(1);
+// A fraction of the above.
+constexpr double kRetryAfterSpread = 0.5;
+
+constexpr size_t kHeldOfStream = size_t{64} * 1024;
+// Beyond kHeldOfStream, for a stream whose caller takes nothing.
+constexpr size_t kMaxReadAhead = size_t{1024} * 1024;
+// Upstreams cut off a reply that stays unread for some seconds; reading must
+// not stop for longer than 1 s. The margin is for the interval at which
+// waiting streams are checked.
+constexpr Duration kMaxReadPause = milliseconds(700);
+
+constexpr Duration kMinUntakenToDrop = seconds(5);
+
+}  // namespace
+
+std::string_view ToString(MemoryKind kind) {
+  switch (kind) {
+    case MemoryKind::kRequests:
+      return "requests";
+    case MemoryKind::kReplies:
+      return "replies";
+    case MemoryKind::kStreams:
+      return "streams";
+    case MemoryKind::kUpstreamSends:
+      return "upstream-sends";
+    case MemoryKind::kPeerAttempts:
+      return "peer-attempts";
+    case MemoryKind::kConfiguration:
+      return "configuration";
+    case MemoryKind::kLogLines:
+      return "log-lines";
+  }
+  return "unknown";
+}
+
+std::string_view ToString(MemoryLevel level) {
+  switch (level) {
+    case MemoryLevel::kNormal:
+      return "normal";
+    case MemoryLevel::kBackpressure:
+      return "backpressure";
+    case MemoryLevel::kRefuseLarge:
+      return "refuse-large";
+    case MemoryLevel::kRefuseAll:
+      return "refuse-all";
+  }
+  return "unknown";
+}
+
+uint64_t BufferLimit(uint64_t memory_mb) {
+  if (memory_mb == 0) {
+    return 0;
+  }
+  const auto share = static_cast<uint64_t>(
+      kBufferFraction * static_cast<double>(memory_mb * kMegabyte));
+  return std::max(kMinLimit, share - std::min(share, kFixedBytes));
+}
+
+uint64_t HeldBytes(const MemoryBudget& budget) {
+  return std::accumulate(budget.held.begin(), budget.held.end(), uint64_t{0});
+}
+
+MemoryHold::MemoryHold(MemoryBudget& budget, MemoryKind kind, size_t bytes)
+    : m_budget(&budget), m_kind(kind) {
+  Set(bytes);
+}
+
+MemoryHold::MemoryHold(MemoryHold&& other) noexcept
+    : m_budget(std::exchange(other.m_budget, nullptr)),
+      m_kind(other.m_kind),
+      m_bytes(std::exchange(other.m_bytes, 0)) {}
+
+MemoryHold& MemoryHold::operator=(MemoryHold&& other) noexcept {
+  if (this != &other) {
+    Set(0);
+    m_budget = std::exchange(other.m_budget, nullptr);
+    m_kind = other.m_kind;
+    m_bytes = std::exchange(other.m_bytes, 0);
+  }
+  return *this;
+}
+
+MemoryHold::~MemoryHold() {
+  Set(0);
+}
+
+void MemoryHold::Set(size_t bytes) {
+  if (m_budget == nullptr) {
+    return;
+  }
+  uint64_t& held = m_budget->held[static_cast<size_t>(m_kind)];
+  held += bytes;
+  held -= m_bytes;
+  m_bytes = bytes;
+}
+
+MemoryLevel LevelOf(const MemoryBudget& budget) {
+  if (budget.limit == 0) {
+    return MemoryLevel::kNormal;
+  }
+  const double use = static_cast<double>(HeldBytes(budget)) /
+                     static_cast<double>(budget.limit);
+  return use > 1                       ? MemoryLevel::kRefuseAll
+         : use > kRefuseLargeFraction  ? MemoryLevel::kRefuseLarge
+         : use > kBackpressureFraction ? MemoryLevel::kBackpressure
+                                       : MemoryLevel::kNormal;
+}
+
+bool AdmitsRequest(MemoryLevel level, uint64_t body_bytes) {
+  return level < MemoryLevel::kRefuseLarge ||
+         (level == MemoryLevel::kRefuseLarge && body_bytes <= kLargeBodyBytes);
+}
+
+Duration RetryAfterRefusal(MemoryLevel level, uint64_t random) {
+  const Duration least =
+      level == MemoryLevel::kRefuseAll ? kRetryAfterAll : kRetryAfterLarge;
+  const auto spread = static_cast<uint64_t>(kRetryAfterSpread *
+                                            static_cast<double>(least.count()));
+  return least + Duration{static_cast<int64_t>(random % (spread + 1))};
+}
+
+size_t MaxHeldOfStream(MemoryLevel level, Duration untaken_for) {
+  if (level >= MemoryLevel::kRefuseLarge) {
+    // The rest of the budget is for new requests.
+    return 0;
+  }
+  if (level == MemoryLevel::kNormal) {
+    return untaken_for < kMaxReadPause ? kHeldOfStream
+                                       : kHeldOfStream + kMaxReadAhead;
+  }
+  // Enough that the upstream sees its reply being read.
+  const auto pauses = static_cast<size_t>(untaken_for / kMaxReadPause);
+  return std::min(pauses * kHeldOfStream, kHeldOfStream + kMaxReadAhead);
+}
+
+std::vector<size_t> ChooseCallersToDrop(const MemoryBudget& budget,
+                                        std::span<const UntakenBytes> callers) {
+  std::vector<size_t> dropped;
+  uint64_t held = HeldBytes(budget);
+  if (budget.limit == 0 || held <= budget.limit) {
+    return dropped;
+  }
+  for (size_t i = 0; i < callers.size(); ++i) {
+    if (callers[i].untaken_for >= kMinUntakenToDrop) {
+      dropped.push_back(i);
+    }
+  }
+  const auto byte_seconds = [&](size_t i) {
+    return static_cast<double>(callers[i].held) *
+           static_cast<double>(callers[i].untaken_for.count());
+  };
+  std::sort(dropped.begin(), dropped.end(), [&](size_t a, size_t b) {
+    return byte_seconds(a) > byte_seconds(b);
+  });
+  size_t count = 0;
+  while (count < dropped.size() && held > budget.limit) {
+    held -= std::min(held, callers[dropped[count]].held);
+    ++count;
+  }
+  dropped.resize(count);
+  return dropped;
+}
+
+}  // namespace pomeloring
