Buffers stay within a memory budget, requests within engine memory

With memory_mb, request bodies, replies, stream bytes, requests on their way to upstreams or peers and configuration texts reserve their bytes in one budget. Streams are read at their caller's pace under backpressure, but at least once a second while there is room; new requests get 503 with Retry-After at 0.85 (large bodies) and 1.0 of the limit, before their body is read; over 1.0 callers that take nothing for 5 s are dropped.

Engines with few slots report held tokens; placement skips those without memory for a request.

--- a/src/gateway/client_connection.cc
+++ b/src/gateway/client_connection.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
+#include "link/clock.h"
 #include "link/socket_peek.h"
 
 namespace pomeloring {
@@ -20,6 +21,11 @@
 constexpr size_t kMaxReadAheadBytes = size_t{64} * 1024;
 // For the rest of a request after its header.
 constexpr std::chrono::seconds kBodyTimeout{10};
+// Streams that wait for their caller check the memory level this often.
+constexpr Duration kLevelCheckInterval = milliseconds(200);
+// After the refusal of a request whose body is still arriving: closing at once
+// would reset the connection before the client has read the reply.
+constexpr std::chrono::seconds kRefusalLinger{2};
 constexpr std::string_view kContinueReply = "HTTP/1.1 100 Continue\r\n\r\n";
 
 auto Await(error_code& error) {
@@ -66,10 +72,26 @@
              : 400;
 }
 
+// Frees the buffer if it is empty: with thousands of connections that are idle
+// or wait for a reply, their buffers alone would fill the budget.
+void FreeIfEmpty(boost::beast::flat_buffer& buffer, MemoryHold& hold) {
+  if (buffer.size() == 0) {
+    buffer.shrink_to_fit();
+  }
+  hold.Set(buffer.capacity());
+}
+
 }  // namespace
 
-ClientConnection::ClientConnection(asio::ip::tcp::socket socket)
-    : m_socket(std::move(socket)), m_data_arrived(m_socket.get_executor()) {}
+ClientConnection::ClientConnection(asio::ip::tcp::socket socket,
+                                   MemoryBudget& memory)
+    : m_socket(std::move(socket)),
+      m_memory(memory),
+      m_request_hold(memory, MemoryKind::kRequests),
+      m_read_hold(memory, MemoryKind::kRequests),
+      m_write_hold(memory, MemoryKind::kStreams),
+      m_data_arrived(m_socket.get_executor()),
+      m_write_progress(m_socket.get_executor()) {}
 
 void ClientConnection::Start() {
   ReadMore();
@@ -87,6 +109,7 @@
     self->m_read_pending = false;
     if (error) {
       self->m_is_disconnected = true;
+      self->m_write_progress.cancel();
       if (auto on_disconnect = std::exchange(self->m_on_disconnect, nullptr)) {
         on_disconnect();
       }
@@ -94,6 +117,7 @@
       asio::buffer_copy(self->m_buffer.prepare(size),
                         asio::buffer(self->m_chunk, size));
       self->m_buffer.commit(size);
+      self->m_read_hold.Set(self->m_buffer.capacity());
       self->ReadMore();
     }
     self->m_data_arrived.cancel();
@@ -119,6 +143,10 @@
     ClientLimits limits) {
   const auto self = shared_from_this();
   m_idle = m_buffer.size() == 0;
+  m_request_hold.Set(0);
+  if (m_memory.limit > 0) {
+    FreeIfEmpty(m_buffer, m_read_hold);
+  }
   if (m_idle &&
       !co_await WaitForBytes(steady_clock::now() + limits.idle_timeout)) {
     co_return ConnectionEnded{};
@@ -130,6 +158,7 @@
   parser.eager(true);
   auto deadline = steady_clock::now() + limits.header_timeout;
   bool has_header = false;
+  uint64_t admitted_bytes = 0;  // Of the body.
   while (!parser.is_done()) {
     error_code error;
     const size_t used = parser.put(m_buffer.data(), error);
@@ -137,6 +166,25 @@
     if (error && error != http::error::need_more) {
       co_return BadClientRequest{StatusOf(error), error.message()};
     }
+    const uint64_t body_bytes =
+        parser.is_header_done()
+            ? std::max<uint64_t>(parser.content_length().value_or(0),
+                                 parser.get().body().size())
+            : 0;
+    // The length of a body in chunks is known only while it arrives.
+    const bool is_larger = has_header && admitted_bytes <= kLargeBodyBytes &&
+                           body_bytes > kLargeBodyBytes;
+    const MemoryLevel level = LevelOf(m_memory);
+    if (parser.is_header_done() && (!has_header || is_larger) &&
+        !AdmitsRequest(level, body_bytes)) {
+      m_request_hold.Set(0);
+      co_return RefusedClientRequest{parser.get().base(), body_bytes, level,
+                                     parser.is_done() &&
+                                         parser.get().keep_alive() &&
+                                         FindAmbiguity(parser.get()).empty()};
+    }
+    admitted_bytes = std::max(admitted_bytes, body_bytes);
+    m_request_hold.Set(admitted_bytes);
     if (!has_header && parser.is_header_done()) {
       has_header = true;
       deadline = steady_clock::now() + kBodyTimeout;
@@ -159,6 +207,9 @@
       co_return BadClientRequest{408, "the request took too long to arrive"};
     }
   }
+  if (m_memory.limit > 0) {
+    FreeIfEmpty(m_buffer, m_read_hold);
+  }
   ReadMore();
   ClientRequest request = parser.release();
   const std::string ambiguity = FindAmbiguity(request);
@@ -173,11 +224,98 @@
   if (m_is_disconnected) {
     co_return false;
   }
+  if (m_memory.limit > 0) {
+    Enqueue(std::move(bytes));
+    co_await Flush();
+    co_return !IsBroken();
+  }
   error_code error;
+  m_write_hold.Set(bytes.size());
   co_await asio::async_write(m_socket, asio::buffer(bytes), Await(error));
+  m_write_hold.Set(0);
   co_return !error;
 }
 
+asio::awaitable<bool> ClientConnection::WriteAhead(std::string bytes) {
+  if (m_memory.limit == 0) {
+    co_return co_await Write(std::move(bytes));
+  }
+  const auto self = shared_from_this();
+  if (!IsBroken()) {
+    Enqueue(std::move(bytes));
+  }
+  while (!IsBroken() && UntakenCount() > 0 &&
+         UntakenCount() >=
+             MaxHeldOfStream(LevelOf(m_memory), Now() - m_last_taken_at)) {
+    co_await WaitForProgress(kLevelCheckInterval);
+  }
+  co_return !IsBroken();
+}
+
+asio::awaitable<void> ClientConnection::Flush() {
+  const auto self = shared_from_this();
+  while (!IsBroken() && UntakenCount() > 0) {
+    co_await WaitForProgress(seconds(60));
+  }
+}
+
+asio::awaitable<void> ClientConnection::WaitForProgress(Duration max_wait) {
+  error_code ignored;
+  m_write_progress.expires_after(max_wait);
+  co_await m_write_progress.async_wait(Await(ignored));
+}
+
+size_t ClientConnection::UntakenCount() const {
+  return m_writing.size() - m_written + m_to_write.size();
+}
+
+void ClientConnection::Enqueue(std::string bytes) {
+  if (UntakenCount() == 0) {
+    m_last_taken_at = Now();
+  }
+  if (m_to_write.empty()) {
+    m_to_write = std::move(bytes);
+  } else {
+    m_to_write += bytes;
+  }
+  // Also while a write is pending, which WriteMore() leaves alone.
+  m_write_hold.Set(m_writing.size() + m_to_write.size());
+  WriteMore();
+}
+
+void ClientConnection::WriteMore() {
+  if (m_write_pending || IsBroken()) {
+    return;
+  }
+  if (m_written == m_writing.size()) {
+    m_writing = std::exchange(m_to_write, {});
+    m_written = 0;
+  }
+  m_write_hold.Set(m_writing.size() + m_to_write.size());
+  if (m_writing.empty()) {
+    return;
+  }
+  m_write_pending = true;
+  m_socket.async_write_some(
+      asio::buffer(m_writing) + m_written,
+      [self = shared_from_this()](error_code error, size_t size) {
+        self->m_write_pending = false;
+        self->m_written += size;
+        self->m_last_taken_at = Now();
+        self->m_write_failed |= static_cast<bool>(error);
+        self->WriteMore();
+        self->m_write_progress.cancel();
+      });
+}
+
+std::optional<UntakenBytes> ClientConnection::Untaken(Time now) const {
+  if (UntakenCount() == 0) {
+    return std::nullopt;
+  }
+  return UntakenBytes{m_write_hold.Bytes() + m_request_hold.Bytes(),
+                      now - m_last_taken_at};
+}
+
 void ClientConnection::Close() {
   error_code ignored;
   m_is_disconnected = true;
@@ -186,6 +324,29 @@
   m_socket.close(ignored);
 }
 
+asio::awaitable<void> ClientConnection::CloseAfterRefusal() {
+  const auto self = shared_from_this();
+  const auto deadline = steady_clock::now() + kRefusalLinger;
+  error_code ignored;
+  m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  do {
+    m_buffer.consume(m_buffer.size());
+  } while (co_await WaitForBytes(deadline));
+  Close();
+}
+
+// A reset frees what the kernel has buffered for the client.
+void ClientConnection::Drop() {
+  error_code ignored;
+  m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  const auto on_disconnect = std::exchange(m_on_disconnect, nullptr);
+  Close();
+  m_write_progress.cancel();
+  if (on_disconnect) {
+    on_disconnect();
+  }
+}
+
 void ClientConnection::SetDisconnectHandler(
     std::function<void()> on_disconnect) {
   m_on_disconnect = std::move(on_disconnect);
--- a/src/gateway/client_connection.h
+++ b/src/gateway/client_connection.h
@@ -13,9 +13,11 @@
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
+#include "memory/memory_budget.h"
 #include "routing/routing_config.h"
 
 namespace pomeloring {
@@ -32,21 +34,48 @@
   std::string reason;
 };
 
-using ReadClientResult =
-    std::variant<ClientRequest, ConnectionEnded, BadClientRequest>;
+// Too much is held in buffers to read the request.
+struct RefusedClientRequest {
+  boost::beast::http::fields header;
+  uint64_t body_bytes = 0;  // As far as known.
+  MemoryLevel level = MemoryLevel::kNormal;
+  // Whether the connection may be used for the next request.
+  bool keep_alive = false;
+};
+
+using ReadClientResult = std::variant<ClientRequest,
+                                      ConnectionEnded,
+                                      BadClientRequest,
+                                      RefusedClientRequest>;
 
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
-  explicit ClientConnection(boost::asio::ip::tcp::socket socket);
+  // What the connection buffers is reserved in `memory`.
+  ClientConnection(boost::asio::ip::tcp::socket socket, MemoryBudget& memory);
 
   // Starts reading. Call exactly once.
   void Start();
   // Waits for the next request, and rejects one that exceeds `limits` or that
-  // HTTP parsers may interpret differently.
+  // HTTP parsers may interpret differently. The request's body stays reserved
+  // until the next call.
   boost::asio::awaitable<ReadClientResult> ReadRequest(ClientLimits limits);
   // Writes all of `bytes`. Returns false if the client has disconnected.
   boost::asio::awaitable<bool> Write(std::string bytes);
+  // Writes `bytes`, and returns once the next ones may be read from their
+  // upstream; without a memory limit, once all are written. Returns false if
+  // the client has disconnected.
+  boost::asio::awaitable<bool> WriteAhead(std::string bytes);
+  // Waits until all bytes are written, or the client has disconnected.
+  boost::asio::awaitable<void> Flush();
   void Close();
+  // Closes once the client has got the reply to a request whose body was not
+  // read.
+  boost::asio::awaitable<void> CloseAfterRefusal();
+  // Closes as if the client had disconnected, and discards what it has not
+  // taken.
+  void Drop();
+  // Returns what the client has not taken; nothing if there are no such bytes.
+  std::optional<UntakenBytes> Untaken(Time now) const;
 
   // Calls `on_disconnect` once when the client disconnects, or now if it has
   // done so already. Null removes the handler.
@@ -56,15 +85,32 @@
 
  private:
   void ReadMore();
+  // Adds `bytes` to those to be written. With a memory limit only.
+  void Enqueue(std::string bytes);
+  void WriteMore();
+  size_t UntakenCount() const;
+  bool IsBroken() const { return m_is_disconnected || m_write_failed; }
+  boost::asio::awaitable<void> WaitForProgress(Duration max_wait);
   boost::asio::awaitable<bool> WaitForBytes(
       std::chrono::steady_clock::time_point deadline);
 
   boost::asio::ip::tcp::socket m_socket;
+  MemoryBudget& m_memory;
+  MemoryHold m_request_hold;
+  MemoryHold m_read_hold;
+  MemoryHold m_write_hold;
   boost::asio::steady_timer m_data_arrived;
+  boost::asio::steady_timer m_write_progress;
+  std::string m_writing;  // Its first `m_written` bytes are written.
+  size_t m_written = 0;
+  std::string m_to_write;  // After `m_writing`.
+  Time m_last_taken_at;
   boost::beast::flat_buffer m_buffer;
   std::array<char, 8192> m_chunk;
   std::function<void()> m_on_disconnect;
   bool m_read_pending = false;
+  bool m_write_pending = false;
+  bool m_write_failed = false;
   bool m_is_disconnected = false;
   bool m_idle = true;
 };
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -62,7 +62,9 @@
       m_client(std::move(client)),
       m_request(std::move(request)),
       m_received_at(Now()),
-      m_deadline(gateway.context) {}
+      m_deadline(gateway.context),
+      m_last_reply_hold(gateway.memory, MemoryKind::kReplies),
+      m_partial_event_hold(gateway.memory, MemoryKind::kStreams) {}
 
 Duration Exchange::TimeLeft() const {
   return m_received_at + m_timeout - Now();
@@ -371,6 +373,7 @@
     end = co_await m_upstream_attempt->Execute(sink);
   }
   m_last_reply = m_upstream_attempt->Reply();
+  m_last_reply_hold.Set(m_last_reply.body.size());
   CountUsageOfAttempt(end, m_upstream_attempt->SentAt());
   m_upstream_attempt = nullptr;
   // A stream that ends within an event has been broken off, however its
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -70,7 +70,7 @@
   // Replies according to the last attempt if no retry follows.
   boost::asio::awaitable<void> ReplyAfterAttempt(AttemptEnd end);
   boost::asio::awaitable<void> ReplyUnplaced(Unplaced unplaced);
-  boost::asio::awaitable<void> ForwardReply(const UpstreamReply& reply);
+  boost::asio::awaitable<void> ForwardLastReply();
   boost::asio::awaitable<void> SendLocalReply(LocalReply reply);
   bool ShouldRetry(AttemptEnd end);
   UpstreamOutcome OutcomeOf(AttemptEnd end) const;
@@ -79,6 +79,7 @@
   void ArmDeadline();
   void StopAttempt();
   void LogQuarantine(const RequestTrait& trait) const;
+  void LogNoMemory(const Unplaced& unplaced) const;
   void LogResult();
 
   GatewayContext& m_gateway;
@@ -112,6 +113,8 @@
   OriginSource m_origin_source = OriginSource::kMemory;
   std::optional<EventSplitter> m_event_splitter;
   UpstreamReply m_last_reply;
+  MemoryHold m_last_reply_hold;
+  MemoryHold m_partial_event_hold;
   RequestResult m_result;
   Duration m_time_to_first_byte{0};
   Duration m_max_event_gap{0};  // Between two events.
--- a/src/gateway/exchange_replies.cc
+++ b/src/gateway/exchange_replies.cc
@@ -22,6 +22,12 @@
               "upstreams exit under this request or a part of its prompt"};
     case PlacementRefusal::kNoSlot:
       return {503, "no-slot", "more urgent requests need the free slots"};
+    case PlacementRefusal::kNoMemory:
+      return {503, "no-engine-memory",
+              "no engine has memory for the request now"};
+    case PlacementRefusal::kTooLarge:
+      return {503, "too-large-for-engines",
+              "the prompt is larger than the memory of any engine"};
     case PlacementRefusal::kNoUpstream:
       break;
   }
@@ -78,6 +84,10 @@
   if (unplaced.reason == PlacementRefusal::kQuarantined) {
     LogQuarantine(unplaced.quarantined_trait);
   }
+  if (unplaced.reason == PlacementRefusal::kNoMemory ||
+      unplaced.reason == PlacementRefusal::kTooLarge) {
+    LogNoMemory(unplaced);
+  }
   co_await SendLocalReply(std::move(reply));
 }
 
@@ -114,10 +124,33 @@
         fmt::format("{:.0f}", ToMillis(evidence.next_trial_at - now))}});
 }
 
+void Exchange::LogNoMemory(const Unplaced& unplaced) const {
+  CountEvent(m_gateway.metrics, "engine_memory_refusals");
+  const auto service = m_config->services.find(m_service);
+  const bool is_engine =
+      service != m_config->services.end() && service->second.engine;
+  Time newest_digest{};
+  for (const auto& [name, peer] : m_gateway.router.Peers()) {
+    newest_digest = std::max(newest_digest, peer.last_received);
+  }
+  m_gateway.log.Write(
+      LogLevel::kInfo, "no-engine-memory",
+      {{"request", m_metadata.id},
+       {"service", m_service.value},
+       {"prompt_tokens", std::to_string(m_metadata.prompt_tokens)},
+       {"held_tokens", std::to_string(unplaced.held_tokens)},
+       {"memory_tokens",
+        std::to_string(is_engine ? service->second.engine->memory_tokens : 0)},
+       {"loads_age_ms",
+        m_gateway.router.Peers().empty()
+            ? ""
+            : fmt::format("{:.0f}", ToMillis(Now() - newest_digest))}});
+}
+
 asio::awaitable<void> Exchange::ReplyAfterAttempt(AttemptEnd end) {
   // These statuses state that a request was not executed, but this one was.
   if (end == AttemptEnd::kWhole && !StatesNotExecuted(m_last_reply.status)) {
-    co_await ForwardReply(m_last_reply);
+    co_await ForwardLastReply();
     co_return;
   }
   LocalReply reply{503, end == AttemptEnd::kNotSent ? "unreachable" : "refused",
@@ -134,7 +167,8 @@
   co_await SendLocalReply(std::move(reply));
 }
 
-asio::awaitable<void> Exchange::ForwardReply(const UpstreamReply& reply) {
+asio::awaitable<void> Exchange::ForwardLastReply() {
+  const UpstreamReply& reply = m_last_reply;
   m_time_to_first_byte = Now() - m_received_at;
   ObserveFirstByte(m_gateway.metrics, m_route->name, m_time_to_first_byte);
   const size_t length = reply.body.size();
@@ -143,6 +177,8 @@
   std::string bytes =
       WriteReplyHead(reply.status, reply.fields, &length, ShouldKeepAlive());
   bytes += reply.body;
+  m_last_reply.body = std::string();
+  m_last_reply_hold.Set(0);
   const bool written = co_await m_client->Write(std::move(bytes));
   m_keep_alive = m_keep_alive && written;
 }
--- a/src/gateway/exchange_streams.cc
+++ b/src/gateway/exchange_streams.cc
@@ -149,11 +149,12 @@
   m_event_splitter.emplace(m_metadata.resume_after);
   std::string bytes =
       WriteReplyHead(head.status, head.fields, nullptr, ShouldKeepAlive());
-  co_return co_await m_client->Write(std::move(bytes));
+  co_return co_await m_client->WriteAhead(std::move(bytes));
 }
 
 asio::awaitable<bool> Exchange::ForwardEvents(std::string_view bytes) {
   const CompleteEvents events = m_event_splitter->Feed(bytes);
+  m_partial_event_hold.Set(m_event_splitter->PartialBytes());
   if (events.out_of_order) {
     m_stream_broken = true;
     co_return false;
@@ -184,7 +185,7 @@
     m_gateway.router.HandleEvents(*m_placed_attempt, events.count, now);
   }
   std::string chunk = WriteChunk(events.bytes);
-  co_return co_await m_client->Write(std::move(chunk));
+  co_return co_await m_client->WriteAhead(std::move(chunk));
 }
 
 // Ends the client's stream. If it is truncated, closes the connection without
@@ -200,6 +201,7 @@
     co_return;
   }
   m_keep_alive = false;
+  co_await m_client->Flush();
   m_client->Close();
   m_result = {"stream-cut", std::string(ToString(end))};
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -22,6 +22,7 @@
 #include "gateway/duty_runner.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_context.h"
+#include "gateway/memory_monitor.h"
 #include "gateway/origin_log.h"
 #include "gateway/peer_attempt.h"
 #include "gateway/peer_exchange.h"
@@ -61,6 +62,10 @@
 // With fewer in the caller's failure domain, callers get all instances.
 constexpr size_t kMinAddresses = 2;
 constexpr size_t kMaxAddresses = 64;
+// With a memory limit: the kernel would buffer megabytes for each slow caller,
+// which count as this process's memory too. Linux reserves twice as much: 6 MB
+// for 200 callers, and enough for 100 Mbit/s to a caller 1 ms away.
+constexpr int kCallerSendBufferBytes = 16 * 1024;
 
 uint64_t RandomBits() {
   std::random_device random;
@@ -122,6 +127,7 @@
         m_platform_api(std::move(platform_api)),
         m_handlers(std::move(handlers)),
         m_log(m_settings.name, ParseLogLevel(m_settings.log_level)),
+        m_memory{BufferLimit(m_settings.memory_mb)},
         m_self(MakeSelfMember(m_settings)),
         m_threads(1),
         m_context(m_threads.First()),
@@ -151,8 +157,9 @@
                  }},
                 m_self,
                 m_settings.seeds),
-        m_gateway_context{m_context, m_router, m_pool,
-                          m_codec,   m_log,    m_metrics},
+        m_gateway_context{m_context, m_router,  m_pool,  m_codec,
+                          m_log,     m_metrics, m_memory},
+        m_memory_monitor(m_gateway_context),
         m_reach(m_gateway_context, [this] { return m_peers.PathCandidates(); }),
         m_acceptor(m_context),
         m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {
@@ -214,6 +221,7 @@
                  [this](HttpExchange& exchange) -> asio::awaitable<void> {
                    HttpReply reply;
                    reply.content_type = "text/plain; version=0.0.4";
+                   m_memory_monitor.UpdateGauges();
                    reply.body = FormatMetrics(m_metrics, m_router, Now());
                    co_await exchange.Respond(std::move(reply));
                  });
@@ -444,9 +452,13 @@
         continue;
       }
       socket.set_option(tcp::no_delay(true), error);
+      if (m_memory.limit > 0) {
+        socket.set_option(
+            asio::socket_base::send_buffer_size(kCallerSendBufferBytes), error);
+      }
       Spawn(ServeConnection(
           m_gateway_context,
-          std::make_shared<ClientConnection>(std::move(socket))));
+          std::make_shared<ClientConnection>(std::move(socket), m_memory)));
     }
   }
 
@@ -498,6 +510,7 @@
       }
       m_router.Tick(now);
       m_pool.CloseIdle();
+      m_memory_monitor.Tick(m_feed.ConfigTextBytes(), now);
       if (now - m_estimates_logged_at >= kEstimateLogInterval) {
         m_estimates_logged_at = now;
         LogEngineEstimates(now);
@@ -663,6 +676,8 @@
   const GatewayHandlers m_handlers;
   Log m_log;
   GatewayMetrics m_metrics;
+  // Coroutines of `m_threads` release what they hold when they are destroyed.
+  MemoryBudget m_memory;
   const Member m_self;
   // Declared before all members that hold sockets or timers of its loop, since
   // members are destroyed in the reverse order.
@@ -674,6 +689,7 @@
   PeerExchange m_peers;
   std::optional<OriginLog> m_origin_log;  // With a shared log.
   GatewayContext m_gateway_context;
+  MemoryMonitor m_memory_monitor;
   ReachMonitor m_reach;
   WallClock m_wall_clock;
   std::unique_ptr<UsageReports> m_usage;  // Null without the duty.
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -16,10 +16,12 @@
 #include "gateway/peer_codec.h"
 #include "gateway/upstream_connection.h"
 #include "gateway/wire_codec.h"
+#include "memory/memory_budget.h"
 #include "routing/router.h"
 
 namespace pomeloring {
 
+class ClientConnection;
 class Exchange;
 
 struct GatewayContext {
@@ -29,11 +31,14 @@
   const WireCodec& codec;
   Log& log;
   GatewayMetrics& metrics;
+  MemoryBudget& memory;
   // Set during a graceful shutdown.
   bool close_after_reply = false;  // Closes each connection after a reply.
   bool reject_requests = false;    // New requests get a 503.
   size_t active_exchanges = 0;     // Requests in progress.
   std::set<Exchange*> admitted_exchanges;  // Those that may reach an upstream.
+  std::set<ClientConnection*> callers;     // All open connections of callers.
+  uint64_t memory_refusals = 0;            // Since the start.
   std::function<void()> on_load_change;    // Sends the change to peers.
   PeerPaths peer_paths;
   size_t active_peer_attempts = 0;  // Requests in progress for peers.
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -124,6 +124,11 @@
         "pomeloring_upstream_ejected{{upstream=\"{0}\"}} {3}\n",
         upstream->record.id.value, load.running, PendingPrefillTokens(load),
         now < upstream->health.ejected_until ? 1 : 0);
+    if (load.held_tokens > 0) {
+      out +=
+          fmt::format("pomeloring_upstream_held_tokens{{upstream=\"{}\"}} {}\n",
+                      upstream->record.id.value, load.held_tokens);
+    }
     const Backpressure& asked = upstream->backpressure;
     if (asked.is_leaving) {
       out += fmt::format("pomeloring_upstream_leaving{{upstream=\"{}\"}} 1\n",
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -98,6 +98,7 @@
     }
     entry.set_pause_sensitive(load.gap_sensitive);
     entry.set_read_load(static_cast<float>(load.prefill_load));
+    entry.set_held_tokens(load.held_tokens);
   }
   std::map<UpstreamName, wire::CachedParts*> parts_of;
   for (const auto& [name, part] : digest.cached_parts) {
@@ -188,6 +189,7 @@
     load.running = entry.running();
     load.gap_sensitive = entry.pause_sensitive();
     load.prefill_load = entry.read_load();
+    load.held_tokens = entry.held_tokens();
     for (int i = 0; i < entry.unread_tokens_size(); ++i) {
       const size_t rank = std::min(static_cast<size_t>(i), kUrgencyRanks - 1);
       load.pending_prefill_tokens[rank] += entry.unread_tokens(i);
--- a/src/gateway/serve_peer_attempt.cc
+++ b/src/gateway/serve_peer_attempt.cc
@@ -6,6 +6,7 @@
 #include "gateway/peer_attempt.h"
 #include "gateway/upstream_attempt.h"
 #include "link/clock.h"
+#include "memory/memory_budget.h"
 
 namespace pomeloring {
 namespace {
@@ -110,11 +111,17 @@
     co_await exchange.Respond(std::move(reply));
     co_return;
   }
+  const size_t request_bytes = request->bytes.size();
+  // Without the reservation, which would refuse a request for its own size.
+  const bool is_admitted =
+      AdmitsRequest(LevelOf(gateway.memory), request_bytes);
+  MemoryHold hold(gateway.memory, MemoryKind::kPeerAttempts,
+                  exchange.Request().body().size() + request_bytes);
   const auto upstream = gateway.router.FindUpstream(request->upstream);
   const bool is_busy =
       !gateway.is_member(request->sender, request->incarnation) ||
       !gateway.router.IsReady() || gateway.reject_requests ||
-      gateway.active_peer_attempts >= kMaxPeerAttempts;
+      gateway.active_peer_attempts >= kMaxPeerAttempts || !is_admitted;
   if (is_busy || !upstream) {
     const PeerOutcome outcome =
         is_busy ? PeerOutcome::kBusy : PeerOutcome::kUpstreamBlock;
--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -264,6 +264,14 @@
   }
 }
 
+size_t StoreFeed::ConfigTextBytes() const {
+  size_t bytes = 0;
+  for (const HashedText& kept : m_config_texts) {
+    bytes += kept.text.capacity();
+  }
+  return bytes;
+}
+
 // --- Peers -------------------------------------------------------------------
 
 StoreUpdate StoreFeed::ConfigSince(uint64_t version, uint64_t text_hash) const {
--- a/src/gateway/store_feed.h
+++ b/src/gateway/store_feed.h
@@ -60,6 +60,8 @@
   StoreUpdate ConfigSince(uint64_t version, uint64_t text_hash = 0) const;
   // The hash of the text of the configuration in force; 0 without one.
   uint64_t ConfigTextHash() const { return m_config_texts.front().hash; }
+  // Bytes of the configuration texts that are kept.
+  size_t ConfigTextBytes() const;
   // Returns what a peer lacks whose configuration is `config_version` and whose
   // upstreams are as of `upstreams_as_of`; 0 for either: the peer has none.
   StoreUpdate UpdateSince(uint64_t config_version,
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -102,7 +102,8 @@
     : m_gateway(gateway),
       m_request(std::move(request)),
       m_attempt(std::move(attempt)),
-      m_read_timer(gateway.context) {}
+      m_read_timer(gateway.context),
+      m_reply_hold(gateway.memory, MemoryKind::kReplies) {}
 
 void UpstreamAttempt::Stop() {
   m_stopped = true;
@@ -133,6 +134,9 @@
       return;
     }
     const Time now = Now();
+    if (self->m_awaits_caller) {
+      self->m_last_byte_at = now;
+    }
     Duration limit = self->m_read_timeout;
     const UpstreamState& upstream = *self->m_attempt->upstream;
     const Time active_at = self->m_peer ? upstream.health.last_byte_at
@@ -161,12 +165,26 @@
 // the whole request.
 void UpstreamAttempt::Send(std::string bytes) {
   m_request_sent = std::make_shared<bool>(false);
-  auto shared = std::make_shared<std::string>(std::move(bytes));
-  asio::async_write(m_connection->socket, asio::buffer(*shared),
-                    [shared, connection = m_connection, sent = m_request_sent](
+  struct Sending {
+    std::string bytes;
+    MemoryHold hold;
+  };
+  auto sending = std::make_shared<Sending>();
+  sending->bytes = std::move(bytes);
+  sending->hold = MemoryHold(
+      m_gateway.memory,
+      m_peer ? MemoryKind::kPeerAttempts : MemoryKind::kUpstreamSends,
+      sending->bytes.size());
+  asio::async_write(m_connection->socket, asio::buffer(sending->bytes),
+                    [sending, connection = m_connection, sent = m_request_sent](
                         error_code error, size_t) { *sent = !error; });
 }
 
+void UpstreamAttempt::ReserveReply(const Parser& parser) {
+  m_reply_hold.Set(parser.get().body().size() +
+                   m_connection->buffer.capacity());
+}
+
 // A connection that has answered since the path was lost works, whether new
 // ones do or not.
 asio::awaitable<AttemptEnd> UpstreamAttempt::Execute(const StreamSink& sink) {
@@ -241,6 +259,8 @@
                                m_request.is_retryable,
                                m_request.is_head,
                                m_request.write()};
+    const MemoryHold hold(m_gateway.memory, MemoryKind::kPeerAttempts,
+                          envelope.bytes.size());
     // The entry stays while it counts a request.
     PeerPathState& path = m_gateway.peer_paths.peers[m_peer->name];
     ++path.in_flight;
@@ -436,6 +456,7 @@
       LogIfTooLarge(error);
       co_return false;
     }
+    ReserveReply(parser);
     if (parser.get().body().size() > max_bytes) {
       LogExceeded("reply-body");
       co_return false;
@@ -552,6 +573,7 @@
   m_reply.body = std::move(parser.get().body());
   // A connection with bytes after the reply is not reused: they belong to no
   // request.
+  m_reply_hold.Set(m_reply.body.size());
   ReleaseConnection(parser.get().keep_alive() && !parser.need_eof());
   co_return AttemptEnd::kWhole;
 }
@@ -569,7 +591,12 @@
     std::string& body = parser.get().body();
     if (!body.empty()) {
       RecordByte();
+      ReserveReply(parser);
+      m_awaits_caller = m_gateway.memory.limit > 0;
       const bool forwarded = co_await sink.forward(body);
+      if (std::exchange(m_awaits_caller, false)) {
+        m_last_byte_at = Now();
+      }
       body.clear();
       if (!forwarded || m_stopped) {
         ReleaseConnection(false);
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -122,6 +122,8 @@
   void LogExceeded(std::string_view limit);
   void ArmReadTimer(Duration limit);
   void RecordByte();
+  // Reserves the part of the reply that is in `parser` or not yet parsed.
+  void ReserveReply(const Parser& parser);
   void ReleaseConnection(bool may_reuse);
 
   GatewayContext& m_gateway;
@@ -138,7 +140,10 @@
   bool m_stopped = false;
   bool m_timed_out = false;
   bool m_saw_foreign_reply = false;  // A reply to another request came first.
+  // Reading waits for the caller, so that no byte of the upstream is due.
+  bool m_awaits_caller = false;
   UpstreamReply m_reply;
+  MemoryHold m_reply_hold;
 };
 
 }  // namespace pomeloring
--- a/src/routing/event_splitter.h
+++ b/src/routing/event_splitter.h
@@ -34,6 +34,7 @@
   // bytes of the next one are fed.
   void DiscardPartialEvent();
   bool HasPartialEvent() const { return !m_partial.empty(); }
+  size_t PartialBytes() const { return m_partial.size(); }
   std::optional<uint64_t> LastId() const { return m_last_id; }
 
  private:
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "memory/memory_crowding.h"
+
 namespace pomeloring {
 namespace {
 
@@ -83,6 +85,15 @@
 // event may be late: a few of them together delay it too much.
 constexpr double kLongPromptFraction = 0.25;
 
+// Above any other cost for an engine that has no memory for a request, so that
+// one that has is chosen, and otherwise the one that lacks least.
+constexpr double kNoMemoryCostMs = 1e6;
+// Cost of an engine whose memory is full up to the margin: above what the
+// spread of requests over free slots differs by.
+constexpr double kCrowdedMemoryCostMs = 5000;
+// Only another configuration, with larger engines, can change the decision.
+constexpr Duration kRetryAfterTooLarge = seconds(30);
+
 struct Cost {
   double latency_ms = 0;
   double prefill_share = 0;  // Of the engine's time, without this request.
@@ -92,6 +103,7 @@
   uint32_t prefill_tokens = 0;
   bool gap_sensitive = false;
   uint32_t running = 0;
+  uint64_t held_tokens = 0;
 };
 
 // A chunk late in a long prompt takes longer than the mean of the chunks.
@@ -226,6 +238,7 @@
   const auto pending_tokens = static_cast<double>(PendingPrefillTokens(load));
   Cost cost;
   cost.running = load.running;
+  cost.held_tokens = load.held_tokens;
   cost.prefill_tokens = request.prompt_tokens - cached;
   const auto tokens_ahead = static_cast<double>(
       PendingPrefillUpTo(load, UrgencyRankOf(*request.route)));
@@ -339,6 +352,14 @@
   return upstream.has_peer_path ? kPeerPathCostMs : kNoPathCostMs;
 }
 
+double MemoryCostMs(const TokenDemand& tokens,
+                    const EngineTraits& engine,
+                    uint64_t held) {
+  return kNoMemoryCostMs * MemoryExcess(tokens, held, engine.memory_tokens) +
+         kCrowdedMemoryCostMs *
+             MemoryCrowding(tokens, held, engine.memory_tokens);
+}
+
 // Whether at most a pause or limit keeps the request from being sent there.
 bool IsUsableButForBackpressure(const UpstreamState& upstream,
                                 const PlacementRequest& request,
@@ -421,6 +442,10 @@
   if (request.slots != nullptr && MustWaitOn(*request.slots, question, now)) {
     return Deferred{};
   }
+  if (engine && request.tokens &&
+      IsTooLarge(*request.tokens, engine->memory_tokens)) {
+    return Unplaced{PlacementRefusal::kTooLarge, kRetryAfterTooLarge};
+  }
   const double target_ms = ToMillis(request.route->latency_target);
   const double max_latency_ms =
       kMaxLatencyFraction * ToMillis(request.time_left);
@@ -450,6 +475,9 @@
         engine ? CostAtEngine(request, *engine, *upstream, estimate, shared)
                : CostAtPlainService(*upstream);
     cost.cost_ms += PathCostMs(*upstream);
+    if (engine && request.tokens) {
+      cost.cost_ms += MemoryCostMs(*request.tokens, *engine, cost.held_tokens);
+    }
     total_share += cost.prefill_share;
     ++usable;
     if (request.slots != nullptr &&
@@ -513,6 +541,22 @@
                     estimate.prefill_ms_per_token,
                     now - estimate.updated_at};
   }
+  if (engine && request.tokens) {
+    const TokenFit fit =
+        FitOf(*request.tokens, best->held_tokens, engine->memory_tokens);
+    if (fit != TokenFit::kFits && may_wait) {
+      return Deferred{};
+    }
+    if (fit == TokenFit::kExceeds) {
+      Unplaced unplaced{
+          PlacementRefusal::kNoMemory,
+          std::max(kMinRetryAfter,
+                   FromMillis(estimate.mean_attempt_ms / engine->batch_slots)),
+          usable};
+      unplaced.held_tokens = best->held_tokens;
+      return unplaced;
+    }
+  }
   if (best->interference_ms > kMinInterferenceToDeferMs && may_wait) {
     return Deferred{};
   }
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -12,6 +12,7 @@
 
 #include "admission/slot_admission.h"
 #include "isolation/stream_isolation.h"
+#include "memory/engine_memory.h"
 #include "routing/engine_estimate.h"
 #include "routing/request_traits.h"
 #include "routing/routing_config.h"
@@ -41,6 +42,8 @@
   uint64_t ticket = 0;  // See SlotQuestion.
   // Whether some engines are kept for streams that long prefills would delay.
   bool isolates_streams = false;
+  // Set where requests are placed by the memory of engines.
+  std::optional<TokenDemand> tokens;
 };
 
 struct Placement {
@@ -64,6 +67,8 @@
   kQuarantined,  // Upstreams exit under one of its traits.
   // Higher priorities need the free slots, and none will be left in time.
   kNoSlot,
+  kNoMemory,  // No engine has memory for its tokens.
+  kTooLarge,  // Its prompt is larger than the memory of any engine.
 };
 
 struct Unplaced {
@@ -82,6 +87,7 @@
   Duration estimate_age{0};
   RequestTrait quarantined_trait;  // For kQuarantined.
   SlotDecision slots;              // For kNoSlot.
+  uint64_t held_tokens = 0;        // For kNoMemory: at the best upstream.
 };
 
 // The request should wait and be placed later: all upstreams are full, a higher
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -309,6 +309,7 @@
   placement_request.slots = SlotsOf(service->second);
   placement_request.ticket = request.ticket;
   placement_request.isolates_streams = IsolatesStreams(service->second);
+  placement_request.tokens = TokensOf(request, service->second);
   placement_request.unseen_starts =
       UnseenStartsOf(request.service, candidates, now);
   placement_request.may_use_ejected =
@@ -367,6 +368,9 @@
       attempt->placement.pending_prefill_tokens;
   local_load.prefill_load += attempt->placement.pending_prefill_tokens;
   local_load.gap_sensitive += attempt->placement.gap_sensitive ? 1 : 0;
+  attempt->held_tokens =
+      placement_request.tokens ? TotalTokens(*placement_request.tokens) : 0;
+  local_load.held_tokens += attempt->held_tokens;
   // Recorded before the prefill has happened: a second request with the same
   // parts that follows immediately is best placed behind the first.
   for (const PromptPart& part : attempt->parts) {
@@ -435,6 +439,7 @@
   }
   --local_load.running;
   local_load.gap_sensitive -= attempt.placement.gap_sensitive ? 1 : 0;
+  local_load.held_tokens -= attempt.held_tokens;
   if (outcome == UpstreamOutcome::kServed) {
     RecordSlotTime(attempt, now);
     const uint64_t tokens = attempt.events * attempt.tokens_per_event;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -72,6 +72,7 @@
   uint32_t priority = 0;  // Of the route.
   uint64_t events = 0;
   Time last_event_at;
+  uint64_t held_tokens = 0;  // See UpstreamLoad.
 };
 
 struct AttemptRequest {
@@ -351,6 +352,9 @@
   // Updates which engines are isolated.
   void UpdateIsolation(Time now);
   bool IsolatesStreams(const RoutedService& service) const;
+  // Returns nothing unless requests of the service are placed by memory.
+  std::optional<TokenDemand> TokensOf(const AttemptRequest& request,
+                                      const RoutedService& service) const;
   void RecordSlotUse(const AttemptRequest& request, Time now);
   void RecordSlotTime(const PlacedAttempt& attempt, Time now);
   // Divides the upstreams' limits among the instances that serve now.
--- a/src/routing/router_slots.cc
+++ b/src/routing/router_slots.cc
@@ -14,6 +14,25 @@
   return &m_slots[service.name];
 }
 
+std::optional<TokenDemand> Router::TokensOf(
+    const AttemptRequest& request,
+    const RoutedService& service) const {
+  if (!m_settings.features.places_by_memory || !service.engine ||
+      service.engine->batch_slots > kMaxScarceSlots ||
+      service.engine->memory_tokens == 0) {
+    return std::nullopt;
+  }
+  TokenDemand tokens{request.prompt_tokens, 0};
+  if (const auto estimate = m_engines.find(request.service);
+      estimate != m_engines.end()) {
+    const auto runs = estimate->second.runs.find(request.route->name);
+    tokens.output = runs == estimate->second.runs.end()
+                        ? 0
+                        : static_cast<uint64_t>(runs->second.mean_tokens);
+  }
+  return tokens;
+}
+
 void Router::RecordSlotUse(const AttemptRequest& request, Time now) {
   if (const auto slots = m_slots.find(request.service);
       slots != m_slots.end()) {
--- a/src/routing/upstream_state.cc
+++ b/src/routing/upstream_state.cc
@@ -43,6 +43,7 @@
   }
   total.gap_sensitive += load.gap_sensitive;
   total.prefill_load += load.prefill_load;
+  total.held_tokens += load.held_tokens;
 }
 
 void SubtractLoad(UpstreamLoad& total, const UpstreamLoad& load) {
@@ -52,6 +53,7 @@
   }
   total.gap_sensitive -= load.gap_sensitive;
   total.prefill_load = std::max(0.0, total.prefill_load - load.prefill_load);
+  total.held_tokens -= load.held_tokens;
 }
 
 UpstreamLoad TotalLoad(const UpstreamState& upstream) {
--- a/src/routing/upstream_state.h
+++ b/src/routing/upstream_state.h
@@ -40,6 +40,9 @@
   // Prompt tokens sent there for prefill, decaying with
   // kPrefillLoadTimeConstant.
   double prefill_load = 0;
+  // Prompt and expected output of the running attempts. Counted only where
+  // requests are placed by memory.
+  uint64_t held_tokens = 0;
 };
 
 // Time constant of the decay of `prefill_load`: the time over which the prefill
--- a/test/memory/budget_levels_test.cc
+++ b/test/memory/budget_levels_test.cc
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <initializer_list>
 #include <utility>
 
 #include "memory/memory_budget.h"
--- a/test/support/gateway_site.cc
+++ b/test/support/gateway_site.cc
@@ -166,6 +166,7 @@
   if (options.counts_usage) {
     settings.duties = DutySettings{.duties = {Duty::kUsage}};
   }
+  settings.memory_mb = options.memory_mb;
   settings.address_ttl = std::chrono::seconds(0);
   settings.log_level = "error";
   return settings;
--- a/test/support/gateway_site.h
+++ b/test/support/gateway_site.h
@@ -40,6 +40,7 @@
   std::string peer_address;  // Empty: any.
   std::vector<std::string> seeds;
   bool counts_usage = false;  // For the duty "usage".
+  uint64_t memory_mb = 0;     // 0: buffers are not limited.
   // Called by the gateway's only thread when it has read a request.
   std::function<void()> on_request = [] {};
   std::shared_ptr<MemoryLog> log;  // Null: the gateway has no shared log.
@@ -57,6 +58,8 @@
   GatewaySite(const GatewaySite&) = delete;
   GatewaySite& operator=(const GatewaySite&) = delete;
 
+  // For callers, IP:port.
+  const std::string& Address() const { return m_address; }
   // Sends `bytes` over a new connection and returns everything received until
   // the gateway closes the connection or sends nothing for 500 ms.
   std::string Send(const std::string& bytes) const;
