--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -177,6 +177,11 @@
           upstream->record.id.value, upstream->shared_speed->factor,
           upstream->shared_speed->failure_rate);
     }
+    if (load.held_tokens > 0) {
+      out +=
+          fmt::format("pomeloring_upstream_held_tokens{{upstream=\"{}\"}} {}\n",
+                      upstream->record.id.value, load.held_tokens);
+    }
     const Backpressure& asked = upstream->backpressure;
     if (asked.is_leaving) {
       out += fmt::format("pomeloring_upstream_leaving{{upstream=\"{}\"}} 1\n",
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -14,6 +14,7 @@
 #include "admission/slot_admission.h"
 #include "flows/domain_flows.h"
 #include "isolation/stream_isolation.h"
+#include "memory/engine_memory.h"
 #include "routing/engine_estimate.h"
 #include "routing/request_traits.h"
 #include "routing/routing_config.h"
@@ -47,6 +48,8 @@
   // cost.
   bool prefers_idle_connections = false;
   DomainCrossing crossing;
+  // Set where requests are placed by the memory of engines.
+  std::optional<TokenDemand> tokens;
 };
 
 struct Placement {
@@ -74,6 +77,8 @@
   kNoSlot,
   // Its account is over its fair share, which others need.
   kOverShare,
+  kNoMemory,  // No engine has memory for its tokens.
+  kTooLarge,  // Its prompt is larger than the memory of any engine.
 };
 
 struct Unplaced {
@@ -93,6 +98,7 @@
   RequestTrait quarantined_trait;  // For kQuarantined.
   SlotDecision slots;              // For kNoSlot.
   ShareDecision share;             // For kOverShare.
+  uint64_t held_tokens = 0;        // For kNoMemory: at the best upstream.
 };
 
 // The request should wait and be placed later: all upstreams are full, a higher
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -79,6 +79,7 @@
   uint64_t events = 0;
   Time last_event_at;
   uint64_t bytes = 0;  // Of the request and its answer, set by the caller.
+  uint64_t held_tokens = 0;  // See UpstreamLoad.
 };
 
 struct AttemptRequest {
@@ -504,6 +505,9 @@
   FlowTotals SumFlows(const std::function<bool(const InstanceName&)>& includes,
                       Time now) const;
   FlowDigest MakeFlowDigest(const FlowTotals& totals) const;
+  // Returns nothing unless requests of the service are placed by memory.
+  std::optional<TokenDemand> TokensOf(const AttemptRequest& request,
+                                      const RoutedService& service) const;
   void RecordSlotUse(const AttemptRequest& request, Time now);
   void RecordSlotTime(const PlacedAttempt& attempt, Time now);
   // Returns null unless accounts share the service fairly.
