--- a/src/isolation/stream_isolation.cc
+++ b/src/isolation/stream_isolation.cc
@@ -11,7 +11,7 @@
 // number, few find all isolated engines full.
 constexpr double kStreamDeviations = 2;
 // Above this, requests queue at some engines while others have free slots.
-constexpr double kMaxSlotUse = 0.6;
+constexpr double kMaxSlotUse = 0.75;
 constexpr double kMaxIsolatedFraction = 0.5;
 // Without the loads of other instances. A wrong number costs little while few
 // instances use it.
--- a/src/memory/engine_memory.cc
+++ b/src/memory/engine_memory.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "memory/memory_crowding.h"
-
 namespace pomeloring {
 namespace {
 
--- a/src/memory/engine_memory.h
+++ b/src/memory/engine_memory.h
@@ -34,6 +34,13 @@
 // counts, since the output is not known.
 bool IsTooLarge(const TokenDemand& demand, uint64_t memory);
 
+// Returns 0 while most of the memory is free, and 1 from where the margin
+// begins. Other instances may just have placed requests there that this one
+// does not know of. `held` and `memory` as for FitOf().
+double MemoryCrowding(const TokenDemand& demand,
+                      uint64_t held,
+                      uint64_t memory);
+
 }  // namespace pomeloring
 
 #endif  // POMELORING_MEMORY_ENGINE_MEMORY_H_
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 
-#include "memory/memory_crowding.h"
 #include "routing/crossing_cost.h"
 
 namespace pomeloring {
--- a/test/memory/engine_memory_test.cc
+++ b/test/memory/engine_memory_test.cc
@@ -5,7 +5,6 @@
 
 #include <initializer_list>
 
-#include "memory/memory_crowding.h"
 
 namespace pomeloring {
 namespace {
