--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -62,12 +62,19 @@
       m_client(std::move(client)),
       m_request(std::move(request)),
       m_received_at(Now()),
-      m_deadline(gateway.context) {}
+      m_deadline(gateway.context),
+      m_last_reply_hold(gateway.memory, MemoryKind::kReplies),
+      m_partial_event_hold(gateway.memory, MemoryKind::kStreams) {}
 
 Duration Exchange::TimeLeft() const {
   return m_received_at + m_timeout - Now();
 }
 
+bool Exchange::HasRun() const {
+  return m_may_have_executed || m_executed_attempts > 0 || m_stream_started ||
+         m_origin.has_value();
+}
+
 bool Exchange::ShouldKeepAlive() const {
   return m_keep_alive && m_request.keep_alive() && !m_gateway.close_after_reply;
 }
@@ -121,6 +128,9 @@
   if (m_metadata.time_left) {
     m_timeout = std::min(m_timeout, *m_metadata.time_left);
   }
+  if (m_account != nullptr) {
+    m_account_id = AccountIdOf(m_account->name.value);
+  }
   m_service = ChooseService(*m_route, StableHash(m_metadata.id));
   m_whole_request = IdOfRequest(
       {m_account == nullptr ? std::string_view() : m_account->name.value,
@@ -181,9 +191,15 @@
                                          TimeLeft(),
                                          m_failed_upstreams,
                                          VersionOf(m_origin),
-                                         StableHash(m_metadata.id)};
+                                         StableHash(m_metadata.id),
+                                         m_account_id,
+                                         m_account ? m_account->priority : 0,
+                                         HasRun()};
     auto result = m_gateway.router.StartAttempt(attempt_request, now);
-    if (std::holds_alternative<Deferred>(result)) {
+    if (const auto* deferred = std::get_if<Deferred>(&result)) {
+      if (deferred->share && deferred->share->is_new) {
+        LogShare("share-wait", *deferred->share);
+      }
       if (!co_await WaitForCapacity()) {
         co_return;
       }
@@ -359,7 +375,10 @@
        {"trait", fmt::format("{:x}", m_whole_request)},
        {"parts", FormatSharedParts(m_metadata.prompt_parts)},
        {"upstreams_as_of",
-        std::to_string(m_gateway.router.Upstreams().as_of.value)}});
+        std::to_string(m_gateway.router.Upstreams().as_of.value)},
+       {attempt->placement.left_domain == CrossingReason::kNone ? ""
+                                                                : "left_domain",
+        std::string(ToString(attempt->placement.left_domain))}});
   m_placed_attempt = attempt;
   m_upstream_attempt = std::make_shared<UpstreamAttempt>(
       m_gateway, MakeUpstreamRequest(attempt), attempt);
@@ -371,6 +390,8 @@
     end = co_await m_upstream_attempt->Execute(sink);
   }
   m_last_reply = m_upstream_attempt->Reply();
+  attempt->bytes += m_request.body().size() + m_last_reply.body.size();
+  m_last_reply_hold.Set(m_last_reply.body.size());
   CountUsageOfAttempt(end, m_upstream_attempt->SentAt());
   m_upstream_attempt = nullptr;
   // A stream that ends within an event has been broken off, however its
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -70,15 +70,19 @@
   // Replies according to the last attempt if no retry follows.
   boost::asio::awaitable<void> ReplyAfterAttempt(AttemptEnd end);
   boost::asio::awaitable<void> ReplyUnplaced(Unplaced unplaced);
-  boost::asio::awaitable<void> ForwardReply(const UpstreamReply& reply);
+  boost::asio::awaitable<void> ForwardLastReply();
   boost::asio::awaitable<void> SendLocalReply(LocalReply reply);
   bool ShouldRetry(AttemptEnd end);
   UpstreamOutcome OutcomeOf(AttemptEnd end) const;
   Duration TimeLeft() const;
+  // Whether an upstream may have run the request or a part of it.
+  bool HasRun() const;
   bool ShouldKeepAlive() const;
   void ArmDeadline();
   void StopAttempt();
   void LogQuarantine(const RequestTrait& trait) const;
+  void LogShare(std::string_view event, const ShareDecision& share) const;
+  void LogNoMemory(const Unplaced& unplaced) const;
   void LogResult();
 
   GatewayContext& m_gateway;
@@ -88,6 +92,7 @@
   std::shared_ptr<const RoutingConfig> m_config;
   const Route* m_route = nullptr;
   const RoutedAccount* m_account = nullptr;
+  AccountId m_account_id = kNoAccount;
   RequestMetadata m_metadata;
   ServiceName m_service;
   TraitId m_whole_request = 0;
@@ -112,6 +117,8 @@
   OriginSource m_origin_source = OriginSource::kMemory;
   std::optional<EventSplitter> m_event_splitter;
   UpstreamReply m_last_reply;
+  MemoryHold m_last_reply_hold;
+  MemoryHold m_partial_event_hold;
   RequestResult m_result;
   Duration m_time_to_first_byte{0};
   Duration m_max_event_gap{0};  // Between two events.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -22,6 +22,8 @@
 #include "gateway/duty_runner.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_context.h"
+#include "gateway/isolation_log.h"
+#include "gateway/memory_monitor.h"
 #include "gateway/origin_log.h"
 #include "gateway/peer_attempt.h"
 #include "gateway/peer_exchange.h"
@@ -53,6 +55,8 @@
 constexpr milliseconds kDrainPollInterval{20};
 constexpr Duration kFileCheckInterval = seconds(1);
 constexpr Duration kEstimateLogInterval = seconds(10);
+// Changes of the speeds of upstreams; a few lines at a time.
+constexpr Duration kSpeedLogInterval = seconds(1);
 // Some callers cache addresses for three times their TTL.
 constexpr int kAddressTtlFactor = 3;
 constexpr milliseconds kDrainMargin{500};
@@ -61,6 +65,10 @@
 // With fewer in the caller's failure domain, callers get all instances.
 constexpr size_t kMinAddresses = 2;
 constexpr size_t kMaxAddresses = 64;
+// With a memory limit: the kernel would buffer megabytes for each slow caller,
+// which count as this process's memory too. Linux reserves twice as much: 6 MB
+// for 200 callers, and enough for 100 Mbit/s to a caller 1 ms away.
+constexpr int kCallerSendBufferBytes = 16 * 1024;
 
 uint64_t RandomBits() {
   std::random_device random;
@@ -89,10 +97,47 @@
   router.retries = settings.retries;
   router.placement = settings.placement;
   router.admits_by_slots = settings.admits_by_slots;
+  router.features = settings.features;
   router.random_seed = RandomBits();
   return router;
 }
 
+PoolSettings MakePoolSettings(const GatewaySettings& settings, Router& router) {
+  PoolSettings pool;
+  if (settings.features.prefers_idle_connections) {
+    pool.keeps_idle_longer = true;
+    pool.on_idle_change = [&router](const std::string& address,
+                                    const IdleTimes& times) {
+      const Time now = Now();
+      router.RecordIdleConnections(address,
+                                   {now + times.retryable, now + times.unsafe});
+    };
+  }
+  return pool;
+}
+
+void ExportCounts(GatewayMetrics& metrics, const PoolCounts& counts) {
+  metrics.events["connections_opened"] = counts.opened;
+  metrics.events["connections_reused"] = counts.reused;
+  metrics.events["connections_expired"] = counts.expired;
+  metrics.events["connections_closed_by_upstream"] = counts.closed_by_upstream;
+  metrics.events["connections_not_reusable"] = counts.not_reusable;
+}
+
+// What a flow was decided by: slots in use and in all, requests that wait for
+// one, and slots that the domain's callers ask for.
+std::string FormatDomainLoad(const FlowInputs& inputs,
+                             const FailureDomain& domain) {
+  const auto found = inputs.domains.find(domain);
+  if (found == inputs.domains.end()) {
+    return "unknown";
+  }
+  const auto& [supply, demand] = found->second;
+  return fmt::format("in_use {:.0f} of {:.0f}, queued {:.0f}, demand {}",
+                     supply.in_use, supply.slots, supply.queued,
+                     demand ? fmt::format("{:.0f}", demand->slots) : "unknown");
+}
+
 StoreFeedSettings MakeFeedSettings(const GatewaySettings& settings) {
   StoreFeedSettings feed;
   feed.change_deadline = settings.change_deadline;
@@ -121,11 +166,12 @@
         m_platform_api(std::move(platform_api)),
         m_handlers(std::move(handlers)),
         m_log(m_settings.name, ParseLogLevel(m_settings.log_level)),
+        m_memory{BufferLimit(m_settings.memory_mb)},
         m_self(MakeSelfMember(m_settings)),
         m_threads(1),
         m_context(m_threads.First()),
         m_router(MakeRouterSettings(m_settings, m_self)),
-        m_pool(m_context),
+        m_pool(m_context, MakePoolSettings(m_settings, m_router)),
         m_feed({m_context, m_router, *m_store, m_store_codec, m_log, m_metrics,
                 [this] { m_peers.RequestDigest(); }},
                MakeFeedSettings(m_settings)),
@@ -150,8 +196,9 @@
                  }},
                 m_self,
                 m_settings.seeds),
-        m_gateway_context{m_context, m_router, m_pool,
-                          m_codec,   m_log,    m_metrics},
+        m_gateway_context{m_context, m_router,  m_pool,  m_codec,
+                          m_log,     m_metrics, m_memory},
+        m_memory_monitor(m_gateway_context),
         m_reach(m_gateway_context, [this] { return m_peers.PathCandidates(); }),
         m_acceptor(m_context),
         m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {
@@ -213,6 +260,8 @@
                  [this](HttpExchange& exchange) -> asio::awaitable<void> {
                    HttpReply reply;
                    reply.content_type = "text/plain; version=0.0.4";
+                   ExportCounts(m_metrics, m_pool.Counts());
+                   m_memory_monitor.UpdateGauges();
                    reply.body = FormatMetrics(m_metrics, m_router, Now());
                    co_await exchange.Respond(std::move(reply));
                  });
@@ -443,9 +492,13 @@
         continue;
       }
       socket.set_option(tcp::no_delay(true), error);
+      if (m_memory.limit > 0) {
+        socket.set_option(
+            asio::socket_base::send_buffer_size(kCallerSendBufferBytes), error);
+      }
       Spawn(ServeConnection(
           m_gateway_context,
-          std::make_shared<ClientConnection>(std::move(socket))));
+          std::make_shared<ClientConnection>(std::move(socket), m_memory)));
     }
   }
 
@@ -496,11 +549,18 @@
                                    now);
       }
       m_router.Tick(now);
+      LogIsolationChanges(m_logged_isolation, m_router, m_log, now);
+      LogFlowChanges();
       m_pool.CloseIdle();
+      m_memory_monitor.Tick(m_feed.ConfigTextBytes(), now);
       if (now - m_estimates_logged_at >= kEstimateLogInterval) {
         m_estimates_logged_at = now;
         LogEngineEstimates(now);
       }
+      if (now - m_speeds_logged_at >= kSpeedLogInterval) {
+        m_speeds_logged_at = now;
+        LogSpeedChanges();
+      }
       if (now - m_file_checked_at >= kFileCheckInterval) {
         m_file_checked_at = now;
         ReloadIfChanged();
@@ -536,6 +596,37 @@
     }
   }
 
+  void LogFlowChanges() {
+    for (const FlowChange& change : m_router.TakeFlowChanges()) {
+      const FlowInputs& inputs = change.inputs;
+      m_log.Write(
+          LogLevel::kInfo, change.has_started ? "flow-started" : "flow-ended",
+          {{"service", change.service.value},
+           {"from", inputs.home.value},
+           {"to", change.to.value},
+           {"from_load", FormatDomainLoad(inputs, inputs.home)},
+           {"to_load", FormatDomainLoad(inputs, change.to)},
+           {"price_ms", fmt::format("{:.1f}", inputs.price_ms)},
+           {"age_ms", fmt::format("{:.0f}", ToMillis(inputs.digest_age))}});
+    }
+  }
+
+  void LogSpeedChanges() {
+    const SpeedChanges changes = m_router.TakeSpeedChanges();
+    if (changes.count > 0) {
+      m_metrics.events["upstream_speed_changes"] += changes.count;
+    }
+    for (const SpeedChange& change : changes.noted) {
+      m_log.Write(LogLevel::kInfo, "upstream-speed-changed",
+                  {{"upstream", change.upstream.value},
+                   {"factor", fmt::format("{:.2f}", change.factor)},
+                   {"weight", fmt::format("{:.1f}", change.weight)},
+                   {"failure_rate", fmt::format("{:.2f}", change.failure_rate)},
+                   {"age_ms", fmt::format("{:.0f}", ToMillis(change.age))},
+                   {"changes", std::to_string(changes.count)}});
+    }
+  }
+
   void LogEngineEstimates(Time now) {
     for (const auto& [service, engines] : m_router.Engines()) {
       if (engines.observations == 0) {
@@ -654,6 +745,8 @@
       FileTime();
   Time m_file_checked_at;
   Time m_estimates_logged_at;
+  IsolationLog m_logged_isolation;
+  Time m_speeds_logged_at;
   const WireCodec m_codec;
   const StoreCodec m_store_codec;
   const std::unique_ptr<Store> m_store;
@@ -662,6 +755,8 @@
   const GatewayHandlers m_handlers;
   Log m_log;
   GatewayMetrics m_metrics;
+  // Coroutines of `m_threads` release what they hold when they are destroyed.
+  MemoryBudget m_memory;
   const Member m_self;
   // Declared before all members that hold sockets or timers of its loop, since
   // members are destroyed in the reverse order.
@@ -673,6 +768,7 @@
   PeerExchange m_peers;
   std::optional<OriginLog> m_origin_log;  // With a shared log.
   GatewayContext m_gateway_context;
+  MemoryMonitor m_memory_monitor;
   ReachMonitor m_reach;
   WallClock m_wall_clock;
   std::unique_ptr<UsageReports> m_usage;  // Null without the duty.
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -30,6 +30,36 @@
   ++metrics.events[std::string(name)];
 }
 
+namespace {
+
+std::string FormatFlowMetrics(const Router& router) {
+  std::string out;
+  const std::string& home = router.Settings().failure_domain.value;
+  for (const auto& [service, state] : router.Flows()) {
+    const std::string& name = service.value;
+    const auto labels = [&](const FailureDomain& to) {
+      return fmt::format("service=\"{}\",from=\"{}\",to=\"{}\"", name, home,
+                         to.value);
+    };
+    for (const auto& [to, flow] : state.flows.out) {
+      out += fmt::format("pomeloring_flow_fraction{{{}}} {:.3f}\n", labels(to),
+                         flow.fraction);
+    }
+    for (const auto& [key, count] : state.requests) {
+      out += fmt::format(
+          "pomeloring_requests_left_domain_total{{{},reason=\"{}\"}} {}\n",
+          labels(key.first), ToString(key.second), count);
+    }
+    for (const auto& [to, bytes] : state.bytes) {
+      out += fmt::format("pomeloring_cross_domain_bytes_total{{{}}} {}\n",
+                         labels(to), bytes);
+    }
+  }
+  return out;
+}
+
+}  // namespace
+
 std::string FormatMetrics(const GatewayMetrics& metrics,
                           const Router& router,
                           Time now) {
@@ -77,6 +107,22 @@
       }
     }
   }
+  for (const auto& [service, isolated] : router.Isolated()) {
+    out += fmt::format(
+        "pomeloring_isolated_engines{{service=\"{0}\"}} {1}\n"
+        "pomeloring_gap_sensitive_streams{{service=\"{0}\"}} {2:.0f}\n",
+        service.value, isolated.count, isolated.load.sensitive_streams);
+  }
+  out += FormatFlowMetrics(router);
+  for (const auto& [service, shares] : router.Accounts()) {
+    out += fmt::format(
+        "pomeloring_share_waits_total{{service=\"{0}\"}} {1}\n"
+        "pomeloring_share_refusals_total{{service=\"{0}\"}} {2}\n"
+        "pomeloring_share_returns_total{{service=\"{0}\"}} {3}\n"
+        "pomeloring_share_accounts{{service=\"{0}\"}} {4}\n",
+        service.value, shares.waits, shares.refusals, shares.returns,
+        shares.total.size());
+  }
   const auto config = router.Config();
   out += fmt::format(
       "pomeloring_config_version {}\npomeloring_newest_config_version {}\n"
@@ -124,6 +170,18 @@
         "pomeloring_upstream_ejected{{upstream=\"{0}\"}} {3}\n",
         upstream->record.id.value, load.running, PendingPrefillTokens(load),
         now < upstream->health.ejected_until ? 1 : 0);
+    if (upstream->shared_speed) {
+      out += fmt::format(
+          "pomeloring_upstream_speed_factor{{upstream=\"{0}\"}} {1:.2f}\n"
+          "pomeloring_upstream_failure_rate{{upstream=\"{0}\"}} {2:.3f}\n",
+          upstream->record.id.value, upstream->shared_speed->factor,
+          upstream->shared_speed->failure_rate);
+    }
+    if (load.held_tokens > 0) {
+      out +=
+          fmt::format("pomeloring_upstream_held_tokens{{upstream=\"{}\"}} {}\n",
+                      upstream->record.id.value, load.held_tokens);
+    }
     const Backpressure& asked = upstream->backpressure;
     if (asked.is_leaving) {
       out += fmt::format("pomeloring_upstream_leaving{{upstream=\"{}\"}} 1\n",
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -1,7 +1,9 @@
 #include "gateway/peer_codec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
+#include <utility>
 
 #include "peer_digest.pb.h"
 
@@ -57,6 +59,35 @@
   return milliseconds{std::clamp(ms, -kMaxNoticeMillis, kMaxNoticeMillis)};
 }
 
+void EncodeAccountWork(const ServiceAccountWork& work, wire::PeerDigest& out) {
+  for (const auto& [service, accounts] : work) {
+    bool is_first = true;
+    for (const auto& [account, account_work] : accounts) {
+      wire::AccountWork& entry = *out.add_account_work();
+      entry.set_account(account);
+      if (std::exchange(is_first, false)) {
+        entry.set_service(service.value);
+      }
+      entry.set_work(static_cast<float>(account_work));
+    }
+  }
+}
+
+// Other values than positive ones are not sent by any instance.
+ServiceAccountWork DecodeAccountWork(const wire::PeerDigest& in) {
+  ServiceAccountWork work;
+  ServiceName service;
+  for (const wire::AccountWork& entry : in.account_work()) {
+    if (!entry.service().empty()) {
+      service.value = entry.service();
+    }
+    if (std::isfinite(entry.work()) && entry.work() > 0) {
+      work[service][entry.account()] += entry.work();
+    }
+  }
+  return work;
+}
+
 TraitNotice DecodeTraitNotice(const wire::TraitNotice& in) {
   TraitNotice notice;
   notice.trait = in.trait();
@@ -76,6 +107,52 @@
   return notice;
 }
 
+// In requests a second; smaller rates are sent as this one.
+constexpr double kMinDemandRate = 0.001;
+
+void EncodeFlows(const FlowDigest& flows, wire::PeerDigest& out) {
+  out.set_failure_domain(flows.failure_domain.value);
+  for (const auto& [key, demand] : flows.demands) {
+    wire::DomainDemand& entry = *out.add_demands();
+    entry.set_service(key.first.value);
+    entry.set_failure_domain(key.second.value);
+    const double rate = std::max(demand.requests_per_s, kMinDemandRate);
+    entry.set_requests_per_s(static_cast<float>(rate));
+    entry.set_mean_slot_ms(static_cast<float>(1000 * demand.slots / rate));
+    entry.set_mean_bytes(static_cast<float>(demand.bytes_per_s / rate));
+  }
+  for (const auto& [key, fraction] : flows.flows) {
+    wire::DomainFlow& entry = *out.add_flows();
+    entry.set_service(key.first.value);
+    entry.set_from(key.second.first.value);
+    entry.set_to(key.second.second.value);
+    entry.set_fraction(static_cast<float>(fraction));
+  }
+}
+
+// Bounds what a damaged digest can add to the sums: more than any fleet's.
+constexpr float kMaxDemandValue = 1e9F;
+
+double Bounded(float value, float max) {
+  return value >= 0 ? std::min(value, max) : 0;  // 0 also for NaN.
+}
+
+FlowDigest DecodeFlows(const wire::PeerDigest& in) {
+  FlowDigest flows;
+  flows.failure_domain.value = in.failure_domain();
+  for (const wire::DomainDemand& entry : in.demands()) {
+    const double rate = Bounded(entry.requests_per_s(), kMaxDemandValue);
+    flows.demands[{{entry.service()}, {entry.failure_domain()}}] = {
+        rate, rate * Bounded(entry.mean_slot_ms(), kMaxDemandValue) / 1000,
+        rate * Bounded(entry.mean_bytes(), kMaxDemandValue)};
+  }
+  for (const wire::DomainFlow& entry : in.flows()) {
+    flows.flows[{{entry.service()}, {{entry.from()}, {entry.to()}}}] =
+        Bounded(entry.fraction(), 1);
+  }
+  return flows;
+}
+
 }  // namespace
 
 std::string EncodeDigest(const PeerDigest& digest) {
@@ -98,6 +175,7 @@
     }
     entry.set_pause_sensitive(load.gap_sensitive);
     entry.set_read_load(static_cast<float>(load.prefill_load));
+    entry.set_held_tokens(load.held_tokens);
   }
   std::map<UpstreamName, wire::CachedParts*> parts_of;
   for (const auto& [name, part] : digest.cached_parts) {
@@ -151,6 +229,25 @@
     entry.set_waiting(backlog.waiting);
     entry.set_refused(backlog.refused);
   }
+  for (const auto& [service, sums] : digest.first_events) {
+    wire::FirstEvents& entry = *out.add_first_events();
+    entry.set_service(service.value);
+    entry.set_weight(sums.weight);
+    entry.set_tokens(sums.tokens);
+    entry.set_tokens_squared(sums.tokens_squared);
+    entry.set_ms(sums.ms);
+    entry.set_tokens_ms(sums.tokens_ms);
+  }
+  for (const SpeedObservation& speed : digest.speeds) {
+    wire::SpeedObservation& entry = *out.add_speeds();
+    entry.set_upstream(speed.upstream);
+    entry.set_weight(speed.weight);
+    entry.set_log_ratio(speed.log_ratio);
+    entry.set_served(speed.served);
+    entry.set_failed(speed.failed);
+  }
+  EncodeFlows(digest.flows, out);
+  EncodeAccountWork(digest.account_work, out);
   return out.SerializeAsString();
 }
 
@@ -188,6 +285,7 @@
     load.running = entry.running();
     load.gap_sensitive = entry.pause_sensitive();
     load.prefill_load = entry.read_load();
+    load.held_tokens = entry.held_tokens();
     for (int i = 0; i < entry.unread_tokens_size(); ++i) {
       const size_t rank = std::min(static_cast<size_t>(i), kUrgencyRanks - 1);
       load.pending_prefill_tokens[rank] += entry.unread_tokens(i);
@@ -224,6 +322,21 @@
   for (const wire::ServiceBacklog& entry : in.backlogs()) {
     digest.backlogs[{entry.service()}] = {entry.waiting(), entry.refused()};
   }
+  for (const wire::FirstEvents& entry : in.first_events()) {
+    const FirstEventSums sums{entry.weight(), entry.tokens(),
+                              entry.tokens_squared(), entry.ms(),
+                              entry.tokens_ms()};
+    if (IsValid(sums)) {
+      digest.first_events[{entry.service()}] = sums;
+    }
+  }
+  for (const wire::SpeedObservation& entry : in.speeds()) {
+    digest.speeds.push_back({entry.upstream(), entry.weight(),
+                             entry.log_ratio(), entry.served(),
+                             entry.failed()});
+  }
+  digest.flows = DecodeFlows(in);
+  digest.account_work = DecodeAccountWork(in);
   return digest;
 }
 
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -7,12 +7,16 @@
 #include <utility>
 #include <vector>
 
+#include "admission/account_shares.h"
 #include "core/ids.h"
 #include "duties/duty_notice.h"
+#include "flows/domain_flows.h"
+#include "routing/engine_estimate.h"
 #include "routing/exit_notice.h"
 #include "routing/request_quarantine.h"
 #include "routing/service_backlog.h"
 #include "routing/upstream_state.h"
+#include "speeds/upstream_speed.h"
 
 namespace pomeloring {
 
@@ -27,8 +31,9 @@
 uint32_t ShortHash(const InstanceName& name);
 uint32_t ShortUpstreamHash(const UpstreamName& name);
 
-// A digest holds the complete state of its sender except for `cached_parts`,
-// which has only the parts added since the previous digest, and for `loads` if
+// A digest holds the complete state of its sender except for `cached_parts` and
+// `speeds`, which have only what was added since the previous digest, and for
+// `loads` if
 // `changed_loads_only` is set.
 struct PeerDigest {
   InstanceName sender;
@@ -71,6 +76,14 @@
   DutyNotice duties;
   // Of the same instances as `loads`, always whole.
   ServiceBacklogs backlogs;
+  ServiceFirstEvents first_events;
+  // Only where speeds are shared.
+  std::vector<SpeedObservation> speeds;
+  // As `backlogs`; empty unless flows between failure domains are controlled.
+  FlowDigest flows;
+  // Of the same instances as `loads`, always whole: at most
+  // kMaxReportedAccounts accounts, and the others together.
+  ServiceAccountWork account_work;
 };
 
 // Splits a digest with many loads into several that fit into a datagram each.
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "routing/crossing_cost.h"
+
 namespace pomeloring {
 namespace {
 
@@ -44,6 +46,12 @@
 // most likely is not established.
 constexpr double kPeerPathCostMs = 15;
 constexpr double kNoPathCostMs = 300;
+// Cost of a request that its upstream fails. A second attempt is often too late
+// or not allowed; and with many idle engines, even a few failures in a hundred
+// have to outweigh the random part of their costs.
+constexpr double kFailedRequestCostMs = 2000;
+// An upstream that fails more of its requests is no preferred one.
+constexpr double kMaxHomeFailureRate = 0.1;
 // Approximate duration of a request to a plain service.
 constexpr double kPlainRequestMs = 15;
 // If the expected latency exceeds this fraction of the time left, too little is
@@ -70,6 +78,44 @@
 // it.
 constexpr Duration kMaxRetryAfterSpread = seconds(1);
 
+// Keeps long prompts off isolated engines while another one can start them with
+// much of the time left: above any other cost.
+constexpr double kLongPromptAtIsolatedCostMs = 20000;
+// Cost to a gap-sensitive stream of an engine that long prompts use: most of
+// its value is at stake, not all.
+constexpr double kNotIsolatedCostMs = 300;
+// Other requests leave the slots of isolated engines free unless the others are
+// this much slower.
+constexpr double kOtherAtIsolatedCostMs = 100;
+// A prompt is long if its prefill takes this fraction of the time by which an
+// event may be late: a few of them together delay it too much.
+constexpr double kLongPromptFraction = 0.15;
+// Engines prefill up to this many tokens in one step.
+constexpr double kMaxPrefillChunkTokens = 4096;
+// The streams of a service whose target is up to this multiple of the shortest
+// one are isolated together.
+constexpr double kSensitiveTargetFactor = 1.25;
+
+// Gain of an idle connection to an engine: opening one takes about a
+// millisecond of both sides and a round trip. Far below what a late event or a
+// redundant prefill costs.
+constexpr double kIdleConnectionGainMs = 10;
+// Where the choice among engines is random, an engine with an idle connection
+// counts as this many with as many free slots: the gain is below the distance
+// between the least random values.
+constexpr double kIdleConnectionWeight = 32;
+// For plain services, which take about as long as opening a connection does.
+constexpr double kPlainIdleConnectionGainMs = 5;
+
+// Above any other cost for an engine that has no memory for a request, so that
+// one that has is chosen, and otherwise the one that lacks least.
+constexpr double kNoMemoryCostMs = 1e6;
+// Cost of an engine whose memory is full up to the margin: above what the
+// spread of requests over free slots differs by.
+constexpr double kCrowdedMemoryCostMs = 5000;
+// Only another configuration, with larger engines, can change the decision.
+constexpr Duration kRetryAfterTooLarge = seconds(30);
+
 struct Cost {
   double latency_ms = 0;
   double prefill_share = 0;  // Of the engine's time, without this request.
@@ -79,6 +125,10 @@
   uint32_t prefill_tokens = 0;
   bool gap_sensitive = false;
   uint32_t running = 0;
+  // Isolated engines are kept from this request, or this one from the others.
+  bool breaks_isolation = false;
+  CrossingOffer offer;
+  uint64_t held_tokens = 0;
 };
 
 // A chunk late in a long prompt takes longer than the mean of the chunks.
@@ -107,23 +157,58 @@
   uint32_t cached_tokens = 0;
   const UpstreamState* home = nullptr;  // See FindHome().
   uint32_t home_tokens = 0;
+  // Only where flows between failure domains are controlled:
+  bool is_worth_crossing = false;
+  uint32_t own_domain_tokens = 0;  // Cached there, or at `home`.
 };
 
+// Rendezvous hashing. Where speeds are known, an upstream is preferred in
+// proportion to its speed: u^f is the highest value with a probability that is
+// proportional to 1 / f.
+uint64_t RendezvousWeight(const UpstreamState& upstream, uint64_t part) {
+  uint64_t seed = part ^ upstream.name_hash;
+  const uint64_t weight = NextRandom(seed);
+  if (!upstream.shared_speed || upstream.shared_speed->home_factor == 1) {
+    return weight;
+  }
+  // The highest value that 64 bits hold.
+  constexpr double kMaxWeight = 0x1.fffffffffffffp63;
+  return static_cast<uint64_t>(std::min(
+      kMaxWeight, 0x1p64 * std::pow(static_cast<double>(weight) * 0x1p-64,
+                                    upstream.shared_speed->home_factor)));
+}
+
+// Requests avoid an upstream that fails a part of them, whatever it has cached.
+bool FailsOften(const UpstreamState& upstream) {
+  return upstream.shared_speed &&
+         upstream.shared_speed->failure_rate > kMaxHomeFailureRate;
+}
+
+double FailureCostMs(const UpstreamState& upstream) {
+  return upstream.shared_speed
+             ? kFailedRequestCostMs * upstream.shared_speed->failure_rate
+             : 0;
+}
+
 // Returns the upstream that all instances prefer for prompts with the shared
 // parts of this one, whether they know who has cached them or not: without it,
 // many upstreams would prefill the same parts at once before the digests tell.
 // The last part belongs to the request alone, or to its session.
 const UpstreamState* FindHome(const PlacementRequest& request,
                               std::span<UpstreamState* const> candidates,
+                              bool avoids_isolated,
+                              bool is_worth_crossing,
                               Time now) {
   const uint64_t part = request.parts[request.parts.size() - 2].id;
   const UpstreamState* home = nullptr;
   uint64_t home_weight = 0;
   for (const UpstreamState* upstream : candidates) {
-    uint64_t seed = part ^ upstream->name_hash;
-    const uint64_t weight = NextRandom(seed);
+    const uint64_t weight = RendezvousWeight(*upstream, part);
     if ((home == nullptr || weight > home_weight) &&
-        !upstream->backpressure.limit && IsUsable(*upstream, request, now)) {
+        !(avoids_isolated && upstream->is_isolated) && !FailsOften(*upstream) &&
+        !upstream->backpressure.limit &&
+        MayUseParts(request, *upstream, is_worth_crossing) &&
+        IsUsable(*upstream, request, now)) {
       home = upstream;
       home_weight = weight;
     }
@@ -133,24 +218,134 @@
 
 SharedPrompt FindSharedPrompt(const PlacementRequest& request,
                               std::span<UpstreamState* const> candidates,
+                              const EngineEstimate& estimate,
+                              bool avoids_isolated,
                               Time now) {
   SharedPrompt shared;
-  for (const UpstreamState* upstream : candidates) {
-    shared.cached_tokens =
-        std::max(shared.cached_tokens, CachedTokens(*upstream, request.parts));
-  }
-  shared.cached_tokens = std::min(shared.cached_tokens, request.prompt_tokens);
   uint32_t shared_tokens = 0;
   for (size_t i = 0; i + 1 < request.parts.size(); ++i) {
     shared_tokens += request.parts[i].tokens;
   }
+  shared.is_worth_crossing =
+      request.crossing.flows != nullptr &&
+      IsCrossingCheaper(request.crossing.price_ms,
+                        shared_tokens * estimate.prefill_ms_per_token);
+  for (const UpstreamState* upstream : candidates) {
+    const uint32_t cached = CachedTokens(*upstream, request.parts);
+    if (cached == 0 ||
+        !MayUseParts(request, *upstream, shared.is_worth_crossing)) {
+      continue;
+    }
+    shared.cached_tokens = std::max(shared.cached_tokens, cached);
+    if (upstream->record.failure_domain == request.failure_domain) {
+      shared.own_domain_tokens = std::max(shared.own_domain_tokens, cached);
+    }
+  }
+  shared.cached_tokens = std::min(shared.cached_tokens, request.prompt_tokens);
   if (shared_tokens > shared.cached_tokens) {
-    shared.home = FindHome(request, candidates, now);
+    shared.home = FindHome(request, candidates, avoids_isolated,
+                           shared.is_worth_crossing, now);
     shared.home_tokens = shared_tokens;
+    if (shared.home != nullptr &&
+        shared.home->record.failure_domain == request.failure_domain) {
+      shared.own_domain_tokens = shared_tokens;
+    }
   }
   return shared;
 }
 
+// Whether continuous prefill would break the event gap target of the request's
+// stream, and that target is among the shortest of the service.
+bool IsIsolatedStream(const PlacementRequest& request,
+                      const EngineTraits& engine,
+                      const EngineEstimate& estimate) {
+  const double target_ms = ToMillis(request.route->event_gap_target);
+  const double max_gap_ms =
+      engine.tokens_per_event *
+      (DecodeStepMs(estimate, 0) +
+       kMaxPrefillChunkTokens * estimate.prefill_ms_per_token);
+  return target_ms > 0 && target_ms < max_gap_ms &&
+         target_ms <= kSensitiveTargetFactor *
+                          ToMillis(request.service->min_event_gap_target);
+}
+
+// Adds what the failure domain of the upstream costs.
+void AddDomainCost(const PlacementRequest& request,
+                   const UpstreamState& upstream,
+                   const EngineEstimate& estimate,
+                   const SharedPrompt& shared,
+                   Cost& cost) {
+  if (request.crossing.flows == nullptr) {
+    cost.cost_ms += cost.offer.is_home ? 0 : kCrossDomainCostMs;
+    return;
+  }
+  EngineForecast forecast{cost.offer.is_home,
+                          cost.latency_ms,
+                          cost.running,
+                          cost.breaks_isolation,
+                          0,
+                          estimate.prefill_ms_per_token};
+  if (shared.is_worth_crossing) {
+    const uint32_t tokens = &upstream == shared.home
+                                ? shared.home_tokens
+                                : request.prompt_tokens - cost.prefill_tokens;
+    forecast.tokens_ahead_of_home =
+        std::max(tokens, shared.own_domain_tokens) - shared.own_domain_tokens;
+  }
+  cost.offer = OfferOf(request, upstream, forecast);
+  cost.cost_ms += CrossingCostMs(request.crossing,
+                                 upstream.record.failure_domain, cost.offer);
+}
+
+// Whether the request's own prefill, with nothing cached, may delay an event of
+// the service's most sensitive streams too much.
+bool IsLongPrompt(const PlacementRequest& request,
+                  const EngineTraits& engine,
+                  const EngineEstimate& estimate) {
+  const double slack_ms = ToMillis(request.service->min_event_gap_target) -
+                          engine.tokens_per_event * DecodeStepMs(estimate, 1);
+  return request.prompt_tokens * estimate.prefill_ms_per_token >
+         kLongPromptFraction * slack_ms;
+}
+
+// Replaces what the prefill that is not uninterrupted does to event gaps: an
+// engine prefills between the tokens of its streams, so that an event takes the
+// time of its tokens and of all prefill meanwhile.
+void AddIsolationCost(const PlacementRequest& request,
+                      const EngineTraits& engine,
+                      const UpstreamState& upstream,
+                      const EngineEstimate& estimate,
+                      const UpstreamLoad& load,
+                      Cost& cost) {
+  const double speed = SpeedOf(upstream);
+  const double target_ms = ToMillis(request.service->min_event_gap_target);
+  const double event_ms =
+      speed * engine.tokens_per_event *
+      DecodeStepMs(estimate, std::min(1.0, static_cast<double>(load.running) /
+                                               engine.batch_slots));
+  const double ms_per_token = estimate.prefill_ms_per_token * speed;
+  const double pending_ms =
+      static_cast<double>(PendingPrefillTokens(load)) * ms_per_token;
+  const double missed_now =
+      ForecastMissedGap({event_ms, pending_ms}, target_ms);
+  const double missed_then = ForecastMissedGap(
+      {event_ms, pending_ms + cost.prefill_tokens * ms_per_token}, target_ms);
+  cost.interference_ms =
+      kMissedGapCostMs * load.gap_sensitive * (missed_then - missed_now);
+  cost.cost_ms += cost.interference_ms;
+  cost.gap_sensitive = IsIsolatedStream(request, engine, estimate);
+  if (cost.gap_sensitive) {
+    cost.cost_ms += kMissedGapCostMs * missed_now +
+                    kGapSensitivePrefillCostMs * cost.prefill_share +
+                    (upstream.is_isolated ? 0 : kNotIsolatedCostMs);
+    cost.breaks_isolation = !upstream.is_isolated;
+  } else if (upstream.is_isolated) {
+    cost.breaks_isolation = IsLongPrompt(request, engine, estimate);
+    cost.cost_ms += cost.breaks_isolation ? kLongPromptAtIsolatedCostMs
+                                          : kOtherAtIsolatedCostMs;
+  }
+}
+
 Cost CostAtEngine(const PlacementRequest& request,
                   const EngineTraits& engine,
                   const UpstreamState& upstream,
@@ -159,11 +354,12 @@
   const UpstreamLoad load = TotalLoad(upstream);
   const uint32_t cached =
       std::min(CachedTokens(upstream, request.parts), request.prompt_tokens);
-  const double latency_ratio = upstream.health.latency_ratio;
+  const double latency_ratio = SpeedOf(upstream);
   const double ms_per_token = estimate.prefill_ms_per_token * latency_ratio;
   const auto pending_tokens = static_cast<double>(PendingPrefillTokens(load));
   Cost cost;
   cost.running = load.running;
+  cost.held_tokens = load.held_tokens;
   cost.prefill_tokens = request.prompt_tokens - cached;
   const auto tokens_ahead = static_cast<double>(
       PendingPrefillUpTo(load, UrgencyRankOf(*request.route)));
@@ -186,6 +382,10 @@
     cost.cost_ms +=
         kRedundantPrefillWeight * (cached_elsewhere - cached) * ms_per_token;
   }
+  if (request.isolates_streams) {
+    AddIsolationCost(request, engine, upstream, estimate, load, cost);
+    return cost;
+  }
   const Duration event_gap_target = request.route->event_gap_target;
   cost.gap_sensitive = event_gap_target.count() > 0 &&
                        ToMillis(event_gap_target) <
@@ -222,9 +422,30 @@
   return -std::log(uniform) * kSlotSpreadMs / free_slots;
 }
 
+bool HasIdleConnection(const PlacementRequest& request,
+                       const UpstreamState& upstream,
+                       Time now) {
+  const IdleConnections& idle = upstream.idle_connections;
+  return request.prefers_idle_connections &&
+         now < (IsRetryable(*request.route) ? idle.usable_until
+                                            : idle.usable_until_if_unsafe);
+}
+
+// An upstream where the request may have to wait is not worth a connection.
+double IdleConnectionGainMs(const PlacementRequest& request,
+                            const UpstreamState& upstream,
+                            const Cost& cost) {
+  if (const auto& engine = request.service->engine) {
+    return cost.running < engine->batch_slots ? kIdleConnectionGainMs : 0;
+  }
+  return 2 * cost.running < upstream.record.slots ? kPlainIdleConnectionGainMs
+                                                  : 0;
+}
+
 // Adds the engine to `supply`. Returns whether the request may be sent there.
 bool UseSlots(const PlacementRequest& request,
               bool may_queue,
+              bool has_idle_connection,
               SlotSupply& supply,
               Cost& cost,
               uint64_t& random) {
@@ -236,8 +457,9 @@
   }
   const double free_slots = supply.slots_per_engine - cost.running;
   supply.free += free_slots;
+  const double weight = has_idle_connection ? kIdleConnectionWeight : 1;
   cost.cost_ms +=
-      SpreadCostMs(free_slots, random) -
+      SpreadCostMs(weight * free_slots, random) -
       std::min(cost.latency_ms, ToMillis(request.route->latency_target)) -
       kCostPerRunningRequestMs * cost.running;
   return true;
@@ -254,10 +476,11 @@
   const UpstreamLoad load = TotalLoad(upstream);
   const uint32_t slots = std::max(1U, upstream.record.slots);
   Cost cost;
+  cost.running = load.running;
   if (load.running >= slots) {
     cost.latency_ms = kPlainRequestMs * (load.running - slots + 1) / slots;
   }
-  cost.latency_ms += kPlainRequestMs * upstream.health.latency_ratio;
+  cost.latency_ms += kPlainRequestMs * SpeedOf(upstream);
   // Above half of the slots, another failure domain is better than queueing.
   cost.cost_ms =
       cost.latency_ms + 2 * kCrossDomainCostMs * load.running / slots;
@@ -271,6 +494,14 @@
   return upstream.has_peer_path ? kPeerPathCostMs : kNoPathCostMs;
 }
 
+double MemoryCostMs(const TokenDemand& tokens,
+                    const EngineTraits& engine,
+                    uint64_t held) {
+  return kNoMemoryCostMs * MemoryExcess(tokens, held, engine.memory_tokens) +
+         kCrowdedMemoryCostMs *
+             MemoryCrowding(tokens, held, engine.memory_tokens);
+}
+
 // Whether at most a pause or limit keeps the request from being sent there.
 bool IsUsableButForBackpressure(const UpstreamState& upstream,
                                 const PlacementRequest& request,
@@ -353,11 +584,18 @@
   if (request.slots != nullptr && MustWaitOn(*request.slots, question, now)) {
     return Deferred{};
   }
+  if (engine && request.tokens &&
+      IsTooLarge(*request.tokens, engine->memory_tokens)) {
+    return Unplaced{PlacementRefusal::kTooLarge, kRetryAfterTooLarge};
+  }
   const double target_ms = ToMillis(request.route->latency_target);
   const double max_latency_ms =
       kMaxLatencyFraction * ToMillis(request.time_left);
   const double max_share = MaxPrefillShare(*request.route, estimate, now);
-  const SharedPrompt shared = FindSharedPrompt(request, candidates, now);
+  const bool avoids_isolated = request.isolates_streams && engine &&
+                               IsLongPrompt(request, *engine, estimate);
+  const SharedPrompt shared =
+      FindSharedPrompt(request, candidates, estimate, avoids_isolated, now);
   SlotSupply supply{engine ? engine->batch_slots : 0};
   // Only the highest priority may wait at an engine for a slot.
   const bool may_queue =
@@ -369,6 +607,7 @@
   std::optional<double> min_wait_ms;  // Until one could accept the request.
   double total_share = 0;
   size_t usable = 0;
+  bool has_home_upstream = false;
   const size_t offset = candidates.empty() ? 0 : random % candidates.size();
   for (size_t i = 0; i < candidates.size(); ++i) {
     UpstreamState* upstream = candidates[(i + offset) % candidates.size()];
@@ -378,11 +617,22 @@
     Cost cost =
         engine ? CostAtEngine(request, *engine, *upstream, estimate, shared)
                : CostAtPlainService(*upstream);
-    cost.cost_ms += PathCostMs(*upstream);
+    cost.cost_ms += PathCostMs(*upstream) + FailureCostMs(*upstream);
+    const bool has_idle_connection = HasIdleConnection(request, *upstream, now);
+    if (has_idle_connection) {
+      cost.cost_ms -= IdleConnectionGainMs(request, *upstream, cost);
+    }
+    if (engine && request.tokens) {
+      cost.cost_ms += MemoryCostMs(*request.tokens, *engine, cost.held_tokens);
+    }
     total_share += cost.prefill_share;
     ++usable;
+    cost.offer.is_home =
+        upstream->record.failure_domain == request.failure_domain;
+    has_home_upstream |= cost.offer.is_home;
     if (request.slots != nullptr &&
-        !UseSlots(request, may_queue, supply, cost, spread_random)) {
+        !UseSlots(request, may_queue, has_idle_connection, supply, cost,
+                  spread_random)) {
       continue;
     }
     const double wait_ms = cost.latency_ms - max_latency_ms;
@@ -393,9 +643,7 @@
     if (target_ms > 0 && cost.latency_ms > target_ms) {
       cost.cost_ms += kLatenessWeight * (cost.latency_ms - target_ms);
     }
-    if (upstream->record.failure_domain != request.failure_domain) {
-      cost.cost_ms += kCrossDomainCostMs;
-    }
+    AddDomainCost(request, *upstream, estimate, shared, cost);
     if (!best || cost.cost_ms < best->cost_ms) {
       best = cost;
       chosen = upstream;
@@ -442,11 +690,34 @@
                     estimate.prefill_ms_per_token,
                     now - estimate.updated_at};
   }
+  if (engine && request.tokens) {
+    const TokenFit fit =
+        FitOf(*request.tokens, best->held_tokens, engine->memory_tokens);
+    if (fit != TokenFit::kFits && may_wait) {
+      return Deferred{};
+    }
+    if (fit == TokenFit::kExceeds) {
+      Unplaced unplaced{
+          PlacementRefusal::kNoMemory,
+          std::max(kMinRetryAfter,
+                   FromMillis(estimate.mean_attempt_ms / engine->batch_slots)),
+          usable};
+      unplaced.held_tokens = best->held_tokens;
+      return unplaced;
+    }
+  }
   if (best->interference_ms > kMinInterferenceToDeferMs && may_wait) {
     return Deferred{};
   }
-  return Placement{chosen, best->prefill_tokens, UrgencyRankOf(*request.route),
-                   best->gap_sensitive, FromMillis(best->latency_ms)};
+  Placement placement{chosen, best->prefill_tokens,
+                      UrgencyRankOf(*request.route), best->gap_sensitive,
+                      FromMillis(best->latency_ms)};
+  if (request.crossing.is_controlled) {
+    placement.left_domain =
+        ReasonOf(request.crossing, chosen->record.failure_domain, best->offer,
+                 has_home_upstream);
+  }
+  return placement;
 }
 
 }  // namespace pomeloring
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -10,7 +10,11 @@
 #include <variant>
 #include <vector>
 
+#include "admission/account_shares.h"
 #include "admission/slot_admission.h"
+#include "flows/domain_flows.h"
+#include "isolation/stream_isolation.h"
+#include "memory/engine_memory.h"
 #include "routing/engine_estimate.h"
 #include "routing/request_traits.h"
 #include "routing/routing_config.h"
@@ -38,6 +42,14 @@
   // Of the service; null if slots are not its bottleneck.
   SlotAdmission* slots = nullptr;
   uint64_t ticket = 0;  // See SlotQuestion.
+  // Whether some engines are kept for streams that long prefills would delay.
+  bool isolates_streams = false;
+  // Whether a usable idle connection decides among upstreams of nearly equal
+  // cost.
+  bool prefers_idle_connections = false;
+  DomainCrossing crossing;
+  // Set where requests are placed by the memory of engines.
+  std::optional<TokenDemand> tokens;
 };
 
 struct Placement {
@@ -48,6 +60,8 @@
   bool gap_sensitive = false;
   // To the answer or, for a stream, to the first event.
   Duration expected_latency{0};
+  // Only where flows between failure domains are controlled.
+  CrossingReason left_domain = CrossingReason::kNone;
 };
 
 enum class PlacementRefusal {
@@ -61,6 +75,10 @@
   kQuarantined,  // Upstreams exit under one of its traits.
   // Higher priorities need the free slots, and none will be left in time.
   kNoSlot,
+  // Its account is over its fair share, which others need.
+  kOverShare,
+  kNoMemory,  // No engine has memory for its tokens.
+  kTooLarge,  // Its prompt is larger than the memory of any engine.
 };
 
 struct Unplaced {
@@ -79,12 +97,16 @@
   Duration estimate_age{0};
   RequestTrait quarantined_trait;  // For kQuarantined.
   SlotDecision slots;              // For kNoSlot.
+  ShareDecision share;             // For kOverShare.
+  uint64_t held_tokens = 0;        // For kNoMemory: at the best upstream.
 };
 
 // The request should wait and be placed later: all upstreams are full, a higher
-// priority was refused recently, or its prefill would cost the streams that
-// run there more than waiting costs the request.
-struct Deferred {};
+// priority was refused recently, its prefill would cost the streams that run
+// there more than waiting costs the request, or its account is over its share.
+struct Deferred {
+  std::optional<ShareDecision> share;  // For the last reason only.
+};
 
 using PlacementResult = std::variant<Placement, Deferred, Unplaced>;
 
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -150,6 +150,9 @@
     m_removal_deadlines.erase(name);
     const bool is_other_process =
         state && !IsSameProcess(state->record, *record);
+    if (is_other_process) {
+      ForgetSpeed(*state);
+    }
     if (!state || is_other_process) {
       state = FindOrMakeState(*record, now);
     }
@@ -167,6 +170,9 @@
     if (state && is_gone && IsInForce(state->backpressure, now)) {
       m_departed[name] = {state, now};
     }
+    if (state && is_gone) {
+      ForgetSpeed(*state);
+    }
     return is_gone;
   });
   m_by_service.clear();
@@ -178,7 +184,9 @@
       return a->record.id < b->record.id;
     });
   }
+  IndexAddresses();
   m_has_pending_changes |= !changed.empty();
+  IndexSpeeds();
   UpdateVersions(now);
 }
 
@@ -206,6 +214,7 @@
 void Router::CountRequest(const ServiceName& service, Time now) {
   pomeloring::CountRequest(m_retry_budgets[service], m_settings.retries, now);
   RecordRequest(m_request_rates[service], now);
+  RecordArrival(service, now);
 }
 
 bool Router::AllowRetry(const ServiceName& service, Time now) {
@@ -285,6 +294,9 @@
     unplaced.quarantined_trait = assessment.trait;
     return unplaced;
   }
+  if (auto held = HoldForShare(request, service->second, now)) {
+    return *held;
+  }
   auto candidates = CollectCandidates(request.service, now);
   if (request.software_version) {
     std::erase_if(candidates, [&](const UpstreamState* candidate) {
@@ -308,6 +320,11 @@
                                      request.excluded};
   placement_request.slots = SlotsOf(service->second);
   placement_request.ticket = request.ticket;
+  placement_request.isolates_streams = IsolatesStreams(service->second);
+  placement_request.prefers_idle_connections =
+      PrefersIdleConnections(service->second);
+  placement_request.crossing = CrossingOf(request, service->second);
+  placement_request.tokens = TokensOf(request, service->second);
   placement_request.unseen_starts =
       UnseenStartsOf(request.service, candidates, now);
   placement_request.may_use_ejected =
@@ -326,9 +343,14 @@
     if (unplaced->reason == PlacementRefusal::kOverloaded) {
       m_last_refusals[request.service][request.route->priority] = now;
     }
+    if (unplaced->reason == PlacementRefusal::kOverloaded ||
+        unplaced->reason == PlacementRefusal::kNoSlot) {
+      NoteUnplaced(request, now);
+    }
     return *unplaced;
   }
   if (std::holds_alternative<Deferred>(result)) {
+    NoteUnplaced(request, now);
     return Deferred{};
   }
   auto attempt = std::make_shared<PlacedAttempt>();
@@ -357,15 +379,27 @@
       service->second.engine ? service->second.engine->batch_slots : 0;
   attempt->priority = request.route->priority;
   RecordSlotUse(request, now);
+  RecordCrossing(*attempt);
+  RecordWork(request, attempt->placement.pending_prefill_tokens, now);
   RecordStart(attempt->upstream->backpressure, now);
   const UpstreamLoad load_before = TotalLoad(*attempt->upstream);
   attempt->no_prefill_ahead = PendingPrefillTokens(load_before) == 0;
+  if (load_before.running < attempt->batch_slots) {
+    attempt->mean_first_event_ms =
+        ExpectedFirstEventMs(m_engines[request.service],
+                             static_cast<double>(PendingPrefillUpTo(
+                                 load_before, attempt->placement.rank)),
+                             attempt->placement.pending_prefill_tokens);
+  }
   UpstreamLoad& local_load = attempt->upstream->local_load;
   ++local_load.running;
   local_load.pending_prefill_tokens[attempt->placement.rank] +=
       attempt->placement.pending_prefill_tokens;
   local_load.prefill_load += attempt->placement.pending_prefill_tokens;
   local_load.gap_sensitive += attempt->placement.gap_sensitive ? 1 : 0;
+  attempt->held_tokens =
+      placement_request.tokens ? TotalTokens(*placement_request.tokens) : 0;
+  local_load.held_tokens += attempt->held_tokens;
   // Recorded before the prefill has happened: a second request with the same
   // parts that follows immediately is best placed behind the first.
   for (const PromptPart& part : attempt->parts) {
@@ -402,11 +436,14 @@
   if (attempt.has_first_event) {
     if (attempt.tokens_per_event > 0 && count > 0) {
       const UpstreamLoad load = TotalLoad(*attempt.upstream);
-      RecordTokenTime(
-          m_engines[attempt.service],
-          ToMillis(gap) / static_cast<double>(count * attempt.tokens_per_event),
+      const double fraction =
           std::min(1.0, static_cast<double>(load.running) /
-                            std::max(1U, attempt.batch_slots)));
+                            std::max(1U, attempt.batch_slots));
+      const double token_ms =
+          ToMillis(gap) / static_cast<double>(count * attempt.tokens_per_event);
+      RecordTokenTime(m_engines[attempt.service],
+                      ShareTokenTime(attempt, token_ms, fraction, now),
+                      fraction);
     }
     return;
   }
@@ -414,12 +451,16 @@
   attempt.upstream->local_load.pending_prefill_tokens[attempt.placement.rank] -=
       attempt.placement.pending_prefill_tokens;
   const Duration elapsed = now - attempt.started;
+  const Duration mean_elapsed = ShareFirstEvent(attempt, elapsed, now);
   if (attempt.no_prefill_ahead) {
     RecordFirstEvent(m_engines[attempt.service],
-                     attempt.placement.pending_prefill_tokens, elapsed, now);
+                     attempt.placement.pending_prefill_tokens, mean_elapsed,
+                     now);
+  }
+  if (!attempt.upstream->shared_speed) {
+    RecordLatency(attempt.upstream->health, attempt.placement.expected_latency,
+                  elapsed);
   }
-  RecordLatency(attempt.upstream->health, attempt.placement.expected_latency,
-                elapsed);
   MarkLoadChanged(attempt);
 }
 
@@ -434,6 +475,7 @@
   }
   --local_load.running;
   local_load.gap_sensitive -= attempt.placement.gap_sensitive ? 1 : 0;
+  local_load.held_tokens -= attempt.held_tokens;
   if (outcome == UpstreamOutcome::kServed) {
     RecordSlotTime(attempt, now);
     const uint64_t tokens = attempt.events * attempt.tokens_per_event;
@@ -441,7 +483,9 @@
                       static_cast<double>(tokens), now - attempt.started);
     RecordAnswer(attempt, now);
   }
+  RecordBytes(attempt, outcome, now);
   RecordUpstreamOutcome(attempt.upstream->health, outcome, 0, now);
+  ShareOutcome(attempt, outcome, now);
   MarkLoadChanged(attempt);
 }
 
@@ -691,6 +735,11 @@
   }
   DivideLimits(now);
   UpdateSlots(now);
+  RefreshSpeeds(now);
+  UpdateEstimates(now);
+  UpdateIsolation(now);
+  UpdateFlows(now);
+  UpdateAccounts(now);
   UpdatePeerPaths(now);
   UpdateVersions(now);
   ProcessExits(now);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -5,6 +5,7 @@
 #define POMELORING_ROUTING_ROUTER_H_
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -14,8 +15,11 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission/account_shares.h"
+#include "isolation/stream_isolation.h"
 #include "routing/baseline_policies.h"
 #include "routing/exit_watch.h"
+#include "routing/load_features.h"
 #include "routing/peer_digest.h"
 #include "routing/peer_path.h"
 #include "routing/placement.h"
@@ -25,6 +29,7 @@
 #include "routing/stream_origins.h"
 #include "routing/upstream_state.h"
 #include "routing/upstream_table.h"
+#include "speeds/upstream_speed.h"
 
 namespace pomeloring {
 
@@ -46,6 +51,7 @@
   // Whether requests are admitted to the slots of engines with few of them; see
   // slot_admission.h.
   bool admits_by_slots = false;
+  LoadFeatures features;
 };
 
 // One attempt to serve a request at an upstream, from placement to end.
@@ -59,6 +65,9 @@
   Time started;
   // No prefill was pending at the upstream when the attempt started.
   bool no_prefill_ahead = false;
+  // To the first event at the service's mean engine, behind the prefill that
+  // was pending; 0 for a plain service, or behind requests for a slot.
+  double mean_first_event_ms = 0;
   // Tells whether upstreams still exit under a trait; see AssessRequest().
   bool is_trial = false;
   bool has_first_event = false;
@@ -69,6 +78,8 @@
   uint32_t priority = 0;  // Of the route.
   uint64_t events = 0;
   Time last_event_at;
+  uint64_t bytes = 0;  // Of the request and its answer, set by the caller.
+  uint64_t held_tokens = 0;  // See UpstreamLoad.
 };
 
 struct AttemptRequest {
@@ -84,6 +95,11 @@
   std::optional<std::string> software_version;
   // Identifies the request among those of this instance that wait; 0: none.
   uint64_t ticket = 0;
+  AccountId account = kNoAccount;
+  uint32_t account_priority = 0;  // 0 is the highest.
+  // An upstream may have run it, or a part of its stream: it may not be refused
+  // as if it had not run.
+  bool has_run = false;
 };
 
 using StartAttemptResult =
@@ -100,6 +116,48 @@
 
 using CachedPart = std::pair<UpstreamName, uint64_t>;
 
+// An upstream has become slow, or is slow no more.
+struct SpeedChange {
+  UpstreamName upstream;
+  double factor = 1;  // See SpeedFactorOf().
+  double weight = 0;  // Of the observations that it rests on.
+  double failure_rate = 0;
+  Duration age{0};  // Of the newest observation.
+};
+
+struct SpeedChanges {
+  std::vector<SpeedChange> noted;  // The first few.
+  size_t count = 0;                // Of all.
+};
+
+// The flows of one service out of this instance's failure domain, and what they
+// depend on.
+struct ServiceFlows {
+  DemandMeter demand;
+  std::map<std::string, double> mean_bytes;  // By route.
+  DomainFlows flows;
+  FlowInputs inputs;  // Of the last update.
+  // Totals, for metrics: requests and bytes that left, by domain.
+  std::map<std::pair<FailureDomain, CrossingReason>, uint64_t> requests;
+  std::map<FailureDomain, uint64_t> bytes;
+  // Flows that were last reported as started, and when.
+  std::map<FailureDomain, std::pair<bool, Time>> reported;
+};
+
+// What several instances report.
+struct FlowTotals {
+  DemandRates demands;
+  FlowSums flows;
+};
+
+// A flow that has started or ended.
+struct FlowChange {
+  ServiceName service;
+  FailureDomain to;
+  bool has_started = false;
+  FlowInputs inputs;
+};
+
 struct PeerState {
   PeerDigest digest;  // The last one, without loads, parts and limits.
   // Upstreams that have an entry for this peer in `peer_loads`.
@@ -204,6 +262,11 @@
   // instance: one of the same service, if it has any; null if there is none.
   std::shared_ptr<UpstreamState> LastHeardBeside(
       const UpstreamState& upstream) const;
+  // Records which idle connections this instance has to the upstream at
+  // `address`; does nothing unless they affect placement, or if no upstream of
+  // this address is registered.
+  void RecordIdleConnections(const std::string& address,
+                             const IdleConnections& idle);
   // Returns null if no upstream of this name is registered.
   std::shared_ptr<UpstreamState> FindUpstream(const UpstreamName& name) const;
 
@@ -289,6 +352,22 @@
   std::vector<const UpstreamState*> AllUpstreams() const;
   // Of services whose engines have few slots.
   const std::map<ServiceName, SlotAdmission>& Slots() const { return m_slots; }
+  // Of services whose streams are isolated.
+  const std::map<ServiceName, IsolatedEngines>& Isolated() const {
+    return m_isolated;
+  }
+  // Returns the upstreams that have become slow, or are no more, since the last
+  // call.
+  SpeedChanges TakeSpeedChanges();
+  // Of services whose flows between failure domains are controlled.
+  const std::map<ServiceName, ServiceFlows>& Flows() const { return m_flows; }
+  // Returns the flows that have started or ended since the last call, at most
+  // one a second for each service and domain.
+  std::vector<FlowChange> TakeFlowChanges();
+  // Of services that accounts share fairly.
+  const std::map<ServiceName, AccountShares>& Accounts() const {
+    return m_accounts;
+  }
 
  private:
   struct DepartedUpstream {
@@ -296,6 +375,20 @@
     Time departed_at;
   };
 
+  struct FirstEventSample {
+    uint32_t upstream = 0;  // See SpeedKeyOf().
+    double tokens = 0;
+    double ms = 0;
+  };
+
+  // What instances share of the upstreams of one service.
+  struct ServiceSpeeds {
+    SpeedPool pool;
+    std::vector<FirstEventSample> samples;  // See CalibrateEstimate().
+    EstimateBias first_event_bias;
+    EstimateBias token_time_bias;
+  };
+
   // Returns the state of the process that the attempt was sent to.
   UpstreamState& CurrentState(const PlacedAttempt& attempt) const;
   // Notices from a position that the store was restored from an older copy.
@@ -341,8 +434,104 @@
   // Returns null unless the service's engines have few slots.
   SlotAdmission* SlotsOf(const RoutedService& service);
   void UpdateSlots(Time now);
+  // Whether placement prefers upstreams with idle connections.
+  bool PrefersIdleConnections(const RoutedService& service) const;
+  void IndexAddresses();
+  // Updates which engines are isolated.
+  void UpdateIsolation(Time now);
+  bool IsolatesStreams(const RoutedService& service) const;
+  // Whether instances share the speeds of the service's upstreams. While they
+  // do not, the functions below change nothing.
+  bool SharesSpeeds(const ServiceName& name) const;
+  // What is observed of first events, here and by all other instances.
+  ServiceFirstEvents LocalFirstEvents() const;
+  ServiceFirstEvents PeerFirstEvents() const;
+  void UpdateEstimates(Time now);
+  // Record and queue the time to a first event without prefill ahead, and the
+  // time of a token. Return what the mean upstream would have taken, for the
+  // service's estimate.
+  Duration ShareFirstEvent(const PlacedAttempt& attempt,
+                           Duration elapsed,
+                           Time now);
+  double ShareTokenTime(const PlacedAttempt& attempt,
+                        double token_ms,
+                        double fraction,
+                        Time now);
+  void ShareOutcome(const PlacedAttempt& attempt,
+                    UpstreamOutcome outcome,
+                    Time now);
+  void ShareDuration(const PlacedAttempt& attempt,
+                     double weight,
+                     EstimateBias& bias,
+                     double observed_ms,
+                     double expected_ms,
+                     Time now);
+  void ShareObservation(const PlacedAttempt& attempt,
+                        const SpeedObservation& observation,
+                        Time now);
+  std::vector<SpeedObservation> TakeSpeedsToSend(Time now);
+  void ApplySpeeds(const PeerDigest& digest, Time now);
+  void IndexSpeeds();
+  void CalibrateEstimate(const ServiceName& name,
+                         const ServiceSpeeds& speeds,
+                         Time now);
+  // Discards what was observed of a process that has ended.
+  void ForgetSpeed(const UpstreamState& ended);
+  // Updates `shared_speed` of all upstreams, if that was not done just now.
+  void RefreshSpeeds(Time now);
+  void NoteSpeedChange(const UpstreamState& upstream,
+                       const SharedSpeed& shared,
+                       Time now);
+  // Whether flows of the service between failure domains are controlled.
+  bool ControlsFlows(const RoutedService& service) const;
+  DomainCrossing CrossingOf(const AttemptRequest& request,
+                            const RoutedService& service) const;
+  void RecordArrival(const ServiceName& service, Time now);
+  void RecordCrossing(const PlacedAttempt& attempt);
+  void RecordBytes(const PlacedAttempt& attempt,
+                   UpstreamOutcome outcome,
+                   Time now);
+  void UpdateFlows(Time now);
+  // The inputs of all services but for what concerns one of them.
+  FlowInputs MakeFlowInputs(const ServiceName& service,
+                            const DemandRates& demands,
+                            const FlowReports& reports,
+                            Time now);
+  void NoteFlowChanges(const ServiceName& service,
+                       ServiceFlows& state,
+                       Time now);
+  FlowDigest LocalFlows(Time now) const;
+  // What this instance and the peers that `includes` accepts report.
+  FlowTotals SumFlows(const std::function<bool(const InstanceName&)>& includes,
+                      Time now) const;
+  FlowDigest MakeFlowDigest(const FlowTotals& totals) const;
+  // Returns nothing unless requests of the service are placed by memory.
+  std::optional<TokenDemand> TokensOf(const AttemptRequest& request,
+                                      const RoutedService& service) const;
   void RecordSlotUse(const AttemptRequest& request, Time now);
   void RecordSlotTime(const PlacedAttempt& attempt, Time now);
+  // Returns null unless accounts share the service fairly.
+  AccountShares* SharesOf(const RoutedService& service);
+  ShareQuestion ShareQuestionOf(const AttemptRequest& request,
+                                uint32_t prefill_tokens);
+  // Returns a result for a request that may not be placed now, since its
+  // account is over its share.
+  std::optional<StartAttemptResult> HoldForShare(const AttemptRequest& request,
+                                                 const RoutedService& service,
+                                                 Time now);
+  void RecordWork(const AttemptRequest& request,
+                  uint32_t prefill_tokens,
+                  Time now);
+  void NoteUnplaced(const AttemptRequest& request, Time now);
+  void UpdateAccounts(Time now);
+  // Work by account: started here; also by the instances that this one relays
+  // for; by all instances, as far as known; and by all except `peer`.
+  ServiceAccountWork LocalAccountWork(Time now) const;
+  ServiceAccountWork GroupAccountWork(Time now) const;
+  ServiceAccountWork TotalAccountWork(Time now) const;
+  static ServiceAccountWork WorkOfOthers(const ServiceAccountWork& total,
+                                         const PeerState& peer,
+                                         Time now);
   // Divides the upstreams' limits among the instances that serve now.
   void DivideLimits(Time now);
 
@@ -351,6 +540,8 @@
   UpstreamTable m_table;
   std::unordered_map<UpstreamName, std::shared_ptr<UpstreamState>> m_states;
   std::map<ServiceName, std::vector<UpstreamState*>> m_by_service;
+  // Empty unless idle connections affect placement.
+  std::unordered_map<std::string, UpstreamState*> m_by_address;
   // Upstreams that ask for anything and whose registration is gone: it may come
   // back for the same process.
   std::map<UpstreamName, DepartedUpstream> m_departed;
@@ -374,6 +565,17 @@
   std::map<ServiceName, EngineEstimate> m_engines;
   // Of services whose engines have few slots.
   std::map<ServiceName, SlotAdmission> m_slots;
+  // Of services whose streams are isolated.
+  std::map<ServiceName, IsolatedEngines> m_isolated;
+  // Of services whose flows between failure domains are controlled.
+  std::map<ServiceName, ServiceFlows> m_flows;
+  std::vector<FlowChange> m_flow_changes;
+  size_t m_flow_instances = 1;  // That served when digests last arrived.
+  // Of services that accounts share fairly.
+  std::map<ServiceName, AccountShares> m_accounts;
+  // Of all accounts of this version of the configuration.
+  std::unordered_map<AccountId, uint32_t> m_account_priorities;
+  uint64_t m_account_priorities_version = 0;
   uint64_t m_round_robin_index = 0;  // For kRoundRobin.
   std::map<InstanceName, PeerState> m_peers;
   DutyNotice m_duties;
@@ -381,6 +583,14 @@
   // relays, and to the instances that this one relays for.
   std::deque<CachedPart> m_parts_to_send;
   std::deque<CachedPart> m_parts_to_relay;
+  // Of services whose speeds are shared.
+  std::map<ServiceName, ServiceSpeeds> m_speeds;
+  std::unordered_map<uint32_t, UpstreamState*> m_by_speed_key;
+  // As for the parts.
+  SpeedQueue m_speeds_to_send;
+  SpeedQueue m_speeds_to_relay;
+  Time m_speeds_refreshed_at;
+  SpeedChanges m_speed_changes;
   // Upstreams whose local load has changed since the last digest.
   std::set<UpstreamName> m_changed_loads;
   Time m_last_full_digest;
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -117,8 +117,13 @@
   }
   m_changed_loads.clear();
   digest.backlogs = LocalBacklogs(now);
+  digest.first_events = LocalFirstEvents();
+  digest.flows = LocalFlows(now);
+  digest.account_work = LocalAccountWork(now);
   digest.cached_parts = TakeFront(m_parts_to_send);
-  m_has_pending_changes = !m_parts_to_send.empty();
+  digest.speeds = TakeSpeedsToSend(now);
+  m_has_pending_changes =
+      !m_parts_to_send.empty() || !m_speeds_to_send.upstreams.empty();
   return digest;
 }
 
@@ -157,10 +162,13 @@
       digest.changed_loads_only ? m_last_full_group_digest : now;
   std::set<InstanceName> group;
   digest.backlogs = LocalBacklogs(now);
+  digest.first_events = LocalFirstEvents();
+  digest.account_work = GroupAccountWork(now);
   for (const auto& [name, peer] : m_peers) {
     if (IsRelayedHere(peer, now)) {
       group.insert(name);
       AddBacklogs(digest.backlogs, peer.digest.backlogs);
+      AddFirstEvents(digest.first_events, peer.digest.first_events);
       if (peer.digest.ready) {
         digest.serving.push_back(ShortHash(name));
       }
@@ -169,6 +177,8 @@
       }
     }
   }
+  digest.flows = MakeFlowDigest(SumFlows(
+      [&](const InstanceName& name) { return group.contains(name); }, now));
   for (const auto& [name, state] : m_states) {
     DecayPrefillLoads(*state, now);
     UpstreamLoad load = state->local_load;
@@ -184,18 +194,26 @@
   }
   m_changed_group_loads.clear();
   digest.cached_parts = TakeFront(m_parts_to_send);
-  m_has_pending_changes = !m_parts_to_send.empty();
+  digest.speeds = TakeSpeedsToSend(now);
+  m_has_pending_changes =
+      !m_parts_to_send.empty() || !m_speeds_to_send.upstreams.empty();
   return digest;
 }
 
 std::vector<std::pair<InstanceName, PeerDigest>>
 Router::BuildRelayedDigests(bool leaving, bool reads_store, Time now) {
   const auto parts = TakeFront(m_parts_to_relay);
+  const auto speeds = TakeQueued(m_speeds_to_relay, now);
   const auto notices =
       TakeTraitNotices(m_relayed_trait_notices, m_quarantine, now);
   const std::set<uint32_t> serving = ServingPeerHashes(now);
   const std::set<uint32_t> cut_off = CutOffPeerHashes(now);
   const ServiceBacklogs backlogs = TotalBacklogs(now);
+  ServiceFirstEvents first_events = LocalFirstEvents();
+  AddFirstEvents(first_events, PeerFirstEvents());
+  const FlowTotals flow_totals =
+      SumFlows([](const InstanceName&) { return true; }, now);
+  const ServiceAccountWork account_work = TotalAccountWork(now);
   std::vector<std::pair<UpstreamState*, UpstreamLoad>> totals;
   for (const auto& [name, state] : m_states) {
     DecayPrefillLoads(*state, now);
@@ -213,8 +231,16 @@
     digest.serving.assign(serving.begin(), serving.end());
     digest.cut_off.assign(cut_off.begin(), cut_off.end());
     digest.cached_parts = parts;
+    digest.speeds = ObservationsFor(speeds, name);
     digest.backlogs = backlogs;
     SubtractBacklogs(digest.backlogs, peer.digest.backlogs);
+    digest.first_events = first_events;
+    SubtractFirstEvents(digest.first_events, peer.digest.first_events);
+    FlowTotals others = flow_totals;
+    SubtractDemands(others.demands, peer.digest.flows.demands);
+    SubtractFlows(others.flows, peer.digest.flows.flows);
+    digest.flows = MakeFlowDigest(others);
+    digest.account_work = WorkOfOthers(account_work, peer, now);
     for (const auto& [state, total] : totals) {
       UpstreamLoad load = total;
       if (const auto peer_load = state->peer_loads.find(name);
@@ -227,7 +253,8 @@
     }
     digests.emplace_back(name, std::move(digest));
   }
-  m_has_pending_relay_changes = !m_parts_to_relay.empty();
+  m_has_pending_relay_changes =
+      !m_parts_to_relay.empty() || !m_speeds_to_relay.upstreams.empty();
   return digests;
 }
 
@@ -255,6 +282,7 @@
   peer.digest = digest;
   peer.digest.loads.clear();
   peer.digest.cached_parts.clear();
+  peer.digest.speeds.clear();
   peer.digest.notices.clear();
   peer.digest.exits.clear();
   peer.last_received = now;
@@ -275,6 +303,7 @@
     ApplyLoads(peer, digest, now);
   }
   ApplyParts(digest, now);
+  ApplySpeeds(digest, now);
   ApplyNotices(digest, now);
   ApplyExitNotices(digest, now);
   ApplyTraitNotices(digest, now);
@@ -439,6 +468,9 @@
   }
   found->second.counted_upstreams.clear();
   found->second.digest.backlogs.clear();
+  found->second.digest.first_events.clear();
+  found->second.digest.flows = {};
+  found->second.digest.account_work.clear();
 }
 
 bool Router::IsConfigBehind(const PeerDigest& digest) const {
--- a/src/routing/upstream_state.h
+++ b/src/routing/upstream_state.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <unordered_map>
@@ -40,6 +41,9 @@
   // Prompt tokens sent there for prefill, decaying with
   // kPrefillLoadTimeConstant.
   double prefill_load = 0;
+  // Prompt and expected output of the running attempts. Counted only where
+  // requests are placed by memory.
+  uint64_t held_tokens = 0;
 };
 
 // Time constant of the decay of `prefill_load`: the time over which the prefill
@@ -58,6 +62,22 @@
   Time last_byte_at;  // From this upstream, over any connection.
 };
 
+// What all instances have observed of an upstream; see speeds/upstream_speed.h.
+struct SharedSpeed {
+  double factor = 1;       // See SpeedFactorOf().
+  double home_factor = 1;  // The same, for the choice of preferred engines.
+  double failure_rate = 0;
+  double attempts = 0;  // That `failure_rate` rests on.
+  bool is_slow = false;
+};
+
+// Until when a request could reuse an idle connection of this instance to an
+// upstream. Not after now: there is none.
+struct IdleConnections {
+  Time usable_until;            // By a request that may be retried.
+  Time usable_until_if_unsafe;  // By any request.
+};
+
 struct UpstreamState {
   UpstreamRecord record;
   uint64_t name_hash = 0;  // Of `record.id`.
@@ -73,14 +93,23 @@
   Time prefill_load_updated_at;
   std::map<InstanceName, UpstreamLoad> peer_loads;
   UpstreamHealth health;
+  // Only where speeds are shared; unknown until the first observation.
+  std::optional<SharedSpeed> shared_speed;
   DirectPath direct_path;
   // While `direct_path` is lost: whether a peer may reach the upstream.
   bool has_peer_path = false;
   Backpressure backpressure;
+  IdleConnections idle_connections;
+  // Kept for streams that long prefills would delay; see stream_isolation.h.
+  bool is_isolated = false;
   // Time of the last use by part id.
   std::unordered_map<uint64_t, Time> cached_parts;
 };
 
+// Returns how many times as long as expected the upstream takes, from what all
+// instances have observed or, while that is unknown, this instance alone.
+double SpeedOf(const UpstreamState& upstream);
+
 // Returns the pending prefill tokens of `rank` and all more urgent ranks.
 uint64_t PendingPrefillUpTo(const UpstreamLoad& load, size_t rank);
 // Returns the pending prefill tokens of all ranks.
