--- a/test/memory/engine_memory_test.cc
+++ b/test/memory/engine_memory_test.cc
@@ -5,7 +5,6 @@
 
 #include <initializer_list>
 
-
 namespace pomeloring {
 namespace {
 
