--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -229,15 +229,6 @@
     entry.set_waiting(backlog.waiting);
     entry.set_refused(backlog.refused);
   }
-  for (const auto& [service, sums] : digest.first_events) {
-    wire::FirstEvents& entry = *out.add_first_events();
-    entry.set_service(service.value);
-    entry.set_weight(sums.weight);
-    entry.set_tokens(sums.tokens);
-    entry.set_tokens_squared(sums.tokens_squared);
-    entry.set_ms(sums.ms);
-    entry.set_tokens_ms(sums.tokens_ms);
-  }
   for (const SpeedObservation& speed : digest.speeds) {
     wire::SpeedObservation& entry = *out.add_speeds();
     entry.set_upstream(speed.upstream);
@@ -322,14 +313,6 @@
   for (const wire::ServiceBacklog& entry : in.backlogs()) {
     digest.backlogs[{entry.service()}] = {entry.waiting(), entry.refused()};
   }
-  for (const wire::FirstEvents& entry : in.first_events()) {
-    const FirstEventSums sums{entry.weight(), entry.tokens(),
-                              entry.tokens_squared(), entry.ms(),
-                              entry.tokens_ms()};
-    if (IsValid(sums)) {
-      digest.first_events[{entry.service()}] = sums;
-    }
-  }
   for (const wire::SpeedObservation& entry : in.speeds()) {
     digest.speeds.push_back({entry.upstream(), entry.weight(),
                              entry.log_ratio(), entry.served(),
--- a/src/routing/engine_estimate.cc
+++ b/src/routing/engine_estimate.cc
@@ -1,7 +1,6 @@
 #include "routing/engine_estimate.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace pomeloring {
 namespace {
@@ -64,31 +63,6 @@
   sums.tokens_ms *= factor;
 }
 
-FirstEventSums Combine(const FirstEventSums& a,
-                       const FirstEventSums& b,
-                       double sign) {
-  return {a.weight + sign * b.weight, a.tokens + sign * b.tokens,
-          a.tokens_squared + sign * b.tokens_squared, a.ms + sign * b.ms,
-          a.tokens_ms + sign * b.tokens_ms};
-}
-
-void Estimate(EngineEstimate& estimate) {
-  const FirstEventSums sums = Combine(
-      Combine(estimate.sums, estimate.initial_sums, 1), estimate.peer_sums, 1);
-  const double determinant =
-      sums.weight * sums.tokens_squared - sums.tokens * sums.tokens;
-  if (determinant <= 0) {
-    return;  // All prompts had the same length.
-  }
-  const double slope =
-      (sums.weight * sums.tokens_ms - sums.tokens * sums.ms) / determinant;
-  estimate.prefill_ms_per_token =
-      std::clamp(slope, kMinPrefillMsPerToken, kMaxPrefillMsPerToken);
-  estimate.first_event_delay_ms = std::clamp(
-      (sums.ms - estimate.prefill_ms_per_token * sums.tokens) / sums.weight,
-      kMinDelayMs, kMaxDelayMs);
-}
-
 void Smooth(double& mean, double value) {
   mean = mean == 0 ? value : mean + kRunSmoothing * (value - mean);
 }
@@ -146,16 +120,13 @@
   FirstEventSums& sums = estimate.sums;
   if (estimate.observations == 0) {
     for (const double initial_tokens : kInitialTokens) {
-      AddObservation(estimate.initial_sums, initial_tokens,
+      AddObservation(sums, initial_tokens,
                      ExpectedFirstEventMs(estimate, 0, initial_tokens));
     }
   }
   const double expected_ms = ExpectedFirstEventMs(estimate, 0, tokens);
   const bool is_initial = estimate.observations < kInitialObservations;
-  const double memory =
-      is_initial ? kInitialRegressionMemory : kRegressionMemory;
-  Decay(sums, memory);
-  Decay(estimate.initial_sums, memory);
+  Decay(sums, is_initial ? kInitialRegressionMemory : kRegressionMemory);
   const double max_deviation =
       is_initial ? kMaxInitialDeviation : kMaxDeviation;
   const double observed_ms =
@@ -165,39 +136,18 @@
                  observed_ms > expected_ms ? kSlowObservationWeight : 1);
   ++estimate.observations;
   estimate.updated_at = now;
-  Estimate(estimate);
-}
-
-bool IsValid(const FirstEventSums& sums) {
-  const double all[] = {sums.weight, sums.tokens, sums.tokens_squared, sums.ms,
-                        sums.tokens_ms};
-  return std::all_of(std::begin(all), std::end(all),
-                     [](double sum) { return std::isfinite(sum) && sum >= 0; });
-}
-
-void AddFirstEvents(ServiceFirstEvents& total,
-                    const ServiceFirstEvents& first_events) {
-  for (const auto& [service, sums] : first_events) {
-    total[service] = Combine(total[service], sums, 1);
-  }
-}
-
-void SubtractFirstEvents(ServiceFirstEvents& total,
-                         const ServiceFirstEvents& first_events) {
-  for (const auto& [service, sums] : first_events) {
-    total[service] = Combine(total[service], sums, -1);
-  }
-}
-
-void ApplyPeerSums(EngineEstimate& estimate,
-                   const FirstEventSums& peer_sums,
-                   Time now) {
-  if (peer_sums.weight <= 0) {
-    return;
+  const double determinant =
+      sums.weight * sums.tokens_squared - sums.tokens * sums.tokens;
+  if (determinant <= 0) {
+    return;  // All prompts had the same length.
   }
-  estimate.peer_sums = peer_sums;
-  estimate.updated_at = now;
-  Estimate(estimate);
+  const double slope =
+      (sums.weight * sums.tokens_ms - sums.tokens * sums.ms) / determinant;
+  estimate.prefill_ms_per_token =
+      std::clamp(slope, kMinPrefillMsPerToken, kMaxPrefillMsPerToken);
+  estimate.first_event_delay_ms = std::clamp(
+      (sums.ms - estimate.prefill_ms_per_token * sums.tokens) / sums.weight,
+      kMinDelayMs, kMaxDelayMs);
 }
 
 void ScaleFirstEvents(EngineEstimate& estimate, double factor) {
@@ -208,13 +158,12 @@
                  kMaxPrefillMsPerToken);
   // As if each observation had taken `factor` times as long; see
   // AddObservation().
-  for (FirstEventSums* sums : {&estimate.sums, &estimate.initial_sums}) {
-    sums->weight /= factor * factor;
-    sums->tokens /= factor * factor;
-    sums->tokens_squared /= factor * factor;
-    sums->ms /= factor;
-    sums->tokens_ms /= factor;
-  }
+  FirstEventSums& sums = estimate.sums;
+  sums.weight /= factor * factor;
+  sums.tokens /= factor * factor;
+  sums.tokens_squared /= factor * factor;
+  sums.ms /= factor;
+  sums.tokens_ms /= factor;
 }
 
 // A step of quantile regression on the slots in use.
--- a/src/routing/engine_estimate.h
+++ b/src/routing/engine_estimate.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <string>
 
-#include "core/ids.h"
 #include "routing/routing_config.h"
 
 namespace pomeloring {
@@ -45,8 +44,6 @@
   double full_batch_step_ms = 6;
   double mean_attempt_ms = 2000;  // Duration of a complete attempt.
   FirstEventSums sums;
-  FirstEventSums initial_sums;  // Of the initial values; they decay alike.
-  FirstEventSums peer_sums;     // Of other instances, where they are shared.
   // By route name, for all streaming routes with attempts.
   std::map<std::string, RouteRuns> runs;
   uint64_t observations = 0;  // Of first events.
@@ -85,23 +82,6 @@
                       Duration elapsed,
                       Time now);
 
-// Whether all sums are finite and none is negative.
-bool IsValid(const FirstEventSums& sums);
-
-// Sums by service, as instances send them to each other.
-using ServiceFirstEvents = std::map<ServiceName, FirstEventSums>;
-void AddFirstEvents(ServiceFirstEvents& total,
-                    const ServiceFirstEvents& first_events);
-// `first_events` must be a part of `total`.
-void SubtractFirstEvents(ServiceFirstEvents& total,
-                         const ServiceFirstEvents& first_events);
-
-// Replaces what other instances have observed and estimates anew: an instance
-// that has just started need not learn everything by itself.
-void ApplyPeerSums(EngineEstimate& estimate,
-                   const FirstEventSums& peer_sums,
-                   Time now);
-
 // Multiplies the expected times to a first event, and what they rest on, by
 // `factor`, which is positive.
 void ScaleFirstEvents(EngineEstimate& estimate, double factor);
--- a/src/routing/peer_digest.h
+++ b/src/routing/peer_digest.h
@@ -11,7 +11,6 @@
 #include "core/ids.h"
 #include "duties/duty_notice.h"
 #include "flows/domain_flows.h"
-#include "routing/engine_estimate.h"
 #include "routing/exit_notice.h"
 #include "routing/request_quarantine.h"
 #include "routing/service_backlog.h"
@@ -76,7 +75,6 @@
   DutyNotice duties;
   // Of the same instances as `loads`, always whole.
   ServiceBacklogs backlogs;
-  ServiceFirstEvents first_events;
   // Only where speeds are shared.
   std::vector<SpeedObservation> speeds;
   // As `backlogs`; empty unless flows between failure domains are controlled.
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -736,7 +736,6 @@
   DivideLimits(now);
   UpdateSlots(now);
   RefreshSpeeds(now);
-  UpdateEstimates(now);
   UpdateIsolation(now);
   UpdateFlows(now);
   UpdateAccounts(now);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -443,10 +443,6 @@
   // Whether instances share the speeds of the service's upstreams. While they
   // do not, the functions below change nothing.
   bool SharesSpeeds(const ServiceName& name) const;
-  // What is observed of first events, here and by all other instances.
-  ServiceFirstEvents LocalFirstEvents() const;
-  ServiceFirstEvents PeerFirstEvents() const;
-  void UpdateEstimates(Time now);
   // Record and queue the time to a first event without prefill ahead, and the
   // time of a token. Return what the mean upstream would have taken, for the
   // service's estimate.
--- a/src/routing/router_peers.cc
+++ b/src/routing/router_peers.cc
@@ -117,7 +117,6 @@
   }
   m_changed_loads.clear();
   digest.backlogs = LocalBacklogs(now);
-  digest.first_events = LocalFirstEvents();
   digest.flows = LocalFlows(now);
   digest.account_work = LocalAccountWork(now);
   digest.cached_parts = TakeFront(m_parts_to_send);
@@ -162,13 +161,11 @@
       digest.changed_loads_only ? m_last_full_group_digest : now;
   std::set<InstanceName> group;
   digest.backlogs = LocalBacklogs(now);
-  digest.first_events = LocalFirstEvents();
   digest.account_work = GroupAccountWork(now);
   for (const auto& [name, peer] : m_peers) {
     if (IsRelayedHere(peer, now)) {
       group.insert(name);
       AddBacklogs(digest.backlogs, peer.digest.backlogs);
-      AddFirstEvents(digest.first_events, peer.digest.first_events);
       if (peer.digest.ready) {
         digest.serving.push_back(ShortHash(name));
       }
@@ -209,8 +206,6 @@
   const std::set<uint32_t> serving = ServingPeerHashes(now);
   const std::set<uint32_t> cut_off = CutOffPeerHashes(now);
   const ServiceBacklogs backlogs = TotalBacklogs(now);
-  ServiceFirstEvents first_events = LocalFirstEvents();
-  AddFirstEvents(first_events, PeerFirstEvents());
   const FlowTotals flow_totals =
       SumFlows([](const InstanceName&) { return true; }, now);
   const ServiceAccountWork account_work = TotalAccountWork(now);
@@ -234,8 +229,6 @@
     digest.speeds = ObservationsFor(speeds, name);
     digest.backlogs = backlogs;
     SubtractBacklogs(digest.backlogs, peer.digest.backlogs);
-    digest.first_events = first_events;
-    SubtractFirstEvents(digest.first_events, peer.digest.first_events);
     FlowTotals others = flow_totals;
     SubtractDemands(others.demands, peer.digest.flows.demands);
     SubtractFlows(others.flows, peer.digest.flows.flows);
@@ -468,7 +461,6 @@
   }
   found->second.counted_upstreams.clear();
   found->second.digest.backlogs.clear();
-  found->second.digest.first_events.clear();
   found->second.digest.flows = {};
   found->second.digest.account_work.clear();
 }
--- a/src/routing/router_speeds.cc
+++ b/src/routing/router_speeds.cc
@@ -249,46 +249,15 @@
   }
 }
 
-ServiceFirstEvents Router::LocalFirstEvents() const {
-  ServiceFirstEvents first_events;
-  for (const auto& [service, estimate] : m_engines) {
-    if (SharesSpeeds(service) && estimate.observations > 0) {
-      first_events[service] = estimate.sums;
-    }
-  }
-  return first_events;
-}
-
-ServiceFirstEvents Router::PeerFirstEvents() const {
-  ServiceFirstEvents first_events;
-  for (const auto& [name, peer] : m_peers) {
-    AddFirstEvents(first_events, peer.digest.first_events);
-  }
-  return first_events;
-}
-
-void Router::UpdateEstimates(Time now) {
-  if (!m_settings.features.shares_speeds) {
-    return;
-  }
-  for (const auto& [service, sums] : PeerFirstEvents()) {
-    if (SharesSpeeds(service)) {
-      ApplyPeerSums(m_engines[service], sums, now);
-    }
-  }
-}
-
 // An instance makes its first observations before it knows the speeds of the
 // upstreams, and takes the estimate for that of the mean one. While there are
 // few, the estimate is corrected for what has become known of their upstreams
 // since: by the median, which prefill that nobody has told of yet barely moves.
-// What other instances have observed does the same, and better.
 void Router::CalibrateEstimate(const ServiceName& name,
                                const ServiceSpeeds& speeds,
                                Time now) {
   EngineEstimate& estimate = m_engines[name];
-  if (estimate.peer_sums.weight > 0 ||
-      speeds.samples.size() < kMinCalibrationSamples ||
+  if (speeds.samples.size() < kMinCalibrationSamples ||
       estimate.observations > kCalibrationSamples) {
     return;
   }
