--- a/test/memory/engine_memory_test.cc
+++ b/test/memory/engine_memory_test.cc
@@ -5,6 +5,8 @@
 
 #include <initializer_list>
 
+#include "memory/engine_memory.h"
+
 namespace pomeloring {
 namespace {
 
