--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -68,6 +68,8 @@
   void Cut(int port, bool is_cut) { *m_cut.at(port) = is_cut; }
   // Answers 503 to every call: nothing is done.
   void SetDown(bool is_down) { m_is_down = is_down; }
+  // Resets the connection of every call: nothing is done.
+  void SetResetting(bool is_resetting) { m_is_resetting = is_resetting; }
 
   // Writes a keyed record; without a value, drops the key.
   void Put(const std::string& topic,
@@ -152,6 +154,11 @@
       return false;
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(4));
+    if (m_is_resetting) {
+      const linger reset{.l_onoff = 1, .l_linger = 0};
+      setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+      return false;
+    }
     if (m_is_down) {
       return Reply(socket, 503, "{}");
     }
@@ -251,6 +258,7 @@
   std::map<std::string, Topic> m_topics;
   std::atomic<uint64_t> m_era{0};
   std::atomic<bool> m_is_down{false};
+  std::atomic<bool> m_is_resetting{false};
   std::map<int, std::shared_ptr<std::atomic<bool>>> m_cut;
   std::vector<std::unique_ptr<Server>> m_servers;
 };
