--- a/review/standins/lost_streams.cc
+++ b/review/standins/lost_streams.cc
@@ -58,6 +58,10 @@
     store.SetDown(false);
     Record("store: back from a copy, era %llu",
            static_cast<unsigned long long>(store.Era()));
+  } else if (trouble && disruption == "history") {
+    store.SetHistory(20);
+    Sleep(22);
+    Record("store: keeps 20 s of history");
   } else if (trouble) {
     store.Compact("keyed.op");
     store.Compact("keyed.servers");
--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -89,6 +89,9 @@
     kept.records.clear();
   }
 
+  // Keyed topics keep the records of the last `keep_s` only.
+  void SetHistory(double keep_s) { m_keep_s = keep_s; }
+
   // Comes back from a copy that is `age_s` old.
   void Restore(double age_s) {
     const std::lock_guard lock(m_mutex);
@@ -139,11 +142,17 @@
     }
   }
 
-  static void Add(Topic& topic, std::string bytes, bool is_keyed) {
+  void Add(Topic& topic, std::string bytes, bool is_keyed) {
+    const double now = Seconds();
     if (is_keyed) {
       Index(topic, bytes, End(topic));
+      while (!topic.records.empty() &&
+             now - topic.records.front().at > m_keep_s) {
+        topic.records.pop_front();
+        ++topic.first;
+      }
     }
-    topic.records.push_back({std::move(bytes), Seconds()});
+    topic.records.push_back({std::move(bytes), now});
   }
 
   bool Handle(int socket, const Message& request, std::atomic<bool>& is_cut) {
@@ -256,6 +265,7 @@
 
   std::mutex m_mutex;
   std::map<std::string, Topic> m_topics;
+  std::atomic<double> m_keep_s{300};
   std::atomic<uint64_t> m_era{0};
   std::atomic<bool> m_is_down{false};
   std::atomic<bool> m_is_resetting{false};
