--- a/review/standins/crash_on_stop.cc
+++ b/review/standins/crash_on_stop.cc
@@ -14,7 +14,7 @@
 constexpr double kGap = 1.3;         // Between two such moments.
 constexpr int kClients = 32;         // Of each instance that is asked.
 constexpr double kInterval = 0.003;  // Between two requests of a client.
-constexpr double kLength = 95;
+constexpr double kLength = 105;
 constexpr int kMaxEnds = 2;  // A process may end by itself so often.
 
 struct Node {
