Resume unknown streams only where the registrations are confirmed

Cause: KnowsAllRecentVersions() tells how far back versions are known, but nothing told how old the registrations were. Ruled out: lost datagrams (they were queued behind the request), a shorter limit for gaps (a cut has none, and a request may be read before any timer).

Change: the store confirms the registrations by a call that began after the request had arrived, else peers say whether theirs are confirmed. Versions are recorded from each change that is read.

--- a/src/gateway/exchange_streams.cc
+++ b/src/gateway/exchange_streams.cc
@@ -12,7 +12,10 @@
 
 namespace {
 
-// A caller whose stream is not known waits this long for the log to be read.
+// A caller whose stream is not known waits this long for the store to confirm
+// the versions that are registered.
+constexpr Duration kMaxConfirmWait = milliseconds(300);
+// Likewise, for the log to be read.
 constexpr Duration kMaxLogWait = milliseconds(300);
 
 std::string_view CounterOf(OriginSource source) {
@@ -29,6 +32,18 @@
   return "";
 }
 
+std::string_view CounterOf(ResumptionRefusal refusal) {
+  switch (refusal) {
+    case ResumptionRefusal::kVersionsDiffer:
+      return "resumptions_refused_versions_differ";
+    case ResumptionRefusal::kVersionsUnknown:
+      return "resumptions_refused_versions_unknown";
+    case ResumptionRefusal::kVersionsOutdated:
+      return "resumptions_refused_versions_outdated";
+  }
+  return "";
+}
+
 }  // namespace
 
 // --- Origin ------------------------------------------------------------------
@@ -43,27 +58,31 @@
 }
 
 // Without a log, an instance that has just started takes the version that it
-// sees for the only one, as it has nothing to read.
+// sees for the only one, as it has nothing to read. With one version known, the
+// store is asked first: an instance that was suspended or cut off does not know
+// yet what has been registered since.
 asio::awaitable<StreamOriginReport> Exchange::CollectOriginReport() {
   const StreamOrigins& known = m_gateway.router.Origins();
   const StreamKey key = KeyOfStream();
-  const auto is_open = [](const StreamOriginReport& report) {
-    return !report.origin &&
-           (report.recent_versions.size() > 1 || !report.knows_all_versions);
-  };
+  StreamOriginReport report = ReportOrigin(known, key, m_service, Now());
+  if (!report.origin && report.recent_versions.size() <= 1) {
+    const bool is_current =
+        co_await m_gateway.confirm_upstreams(m_received_at, kMaxConfirmWait);
+    report = ReportOrigin(known, key, m_service, Now());
+    report.is_current = is_current;
+  }
   const Time began_at = Now();
-  StreamOriginReport report = ReportOrigin(known, key, m_service, began_at);
   m_origin_source =
       IsFromLog(known, key) ? OriginSource::kLog : OriginSource::kMemory;
   const bool has_log = static_cast<bool>(m_gateway.await_logged_origins);
-  if (has_log && is_open(report)) {
+  if (has_log && IsOpen(report)) {
     co_await m_gateway.await_logged_origins(Duration{0});  // Begins to read.
   }
-  if (is_open(report)) {
+  if (IsOpen(report)) {
     MergeReport(report, co_await m_gateway.ask_for_origin(key, m_service));
     m_origin_source = OriginSource::kPeer;
   }
-  if (has_log && is_open(report)) {
+  if (has_log && IsOpen(report)) {
     co_await m_gateway.await_logged_origins(
         std::min(kMaxLogWait - (Now() - began_at), TimeLeft()));
     MergeReport(report, ReportOrigin(known, key, m_service, Now()));
@@ -100,14 +119,15 @@
                    : is_of_route      ? ""
                                       : "service-not-on-route"},
        {"recent_versions", std::to_string(report.recent_versions.size())},
+       {"current", report.is_current ? "true" : "false"},
+       {"upstreams_as_of",
+        std::to_string(m_gateway.router.Upstreams().as_of.value)},
        {"waited_ms", fmt::format("{:.0f}", ToMillis(Now() - m_received_at))}});
   if (!is_of_route) {
     CountEvent(m_gateway.metrics, "streams_of_unknown_version");
-    CountEvent(m_gateway.metrics,
-               refusal == nullptr ? "resumptions_refused_off_route"
-               : *refusal == ResumptionRefusal::kVersionsDiffer
-                   ? "resumptions_refused_versions_differ"
-                   : "resumptions_refused_versions_unknown");
+    CountEvent(m_gateway.metrics, refusal == nullptr
+                                      ? "resumptions_refused_off_route"
+                                      : CounterOf(*refusal));
     LocalReply reply{503, "stream-version-unknown",
                      "the version that began the stream is not known here",
                      kDefaultRetryAfter};
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -228,6 +228,10 @@
                                               ServiceName service) {
       return m_peers.AskForOrigin(key, std::move(service));
     };
+    m_gateway_context.confirm_upstreams = [this](Time since,
+                                                 Duration max_wait) {
+      return m_feed.ConfirmUpstreams(since, max_wait);
+    };
     if (m_settings.duties && m_settings.duties->duties.contains(Duty::kUsage)) {
       StartUsage(*m_settings.duties);
     }
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -58,6 +58,9 @@
   std::function<boost::asio::awaitable<StreamOriginReport>(StreamKey,
                                                            ServiceName)>
       ask_for_origin;
+  // Has the store confirm all registrations up to a time; see StoreFeed.
+  std::function<boost::asio::awaitable<bool>(Time since, Duration max_wait)>
+      confirm_upstreams;
   // Counts a request of an account that began to run `ago`. Null without the
   // duty "usage".
   std::function<void(const AccountName&, Duration ago)> count_usage;
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -404,6 +404,7 @@
     out.add_recent_versions(version);
   }
   out.set_knows_all_versions(report.knows_all_versions);
+  out.set_is_current(report.is_current);
   return out.SerializeAsString();
 }
 
@@ -420,6 +421,7 @@
   report.recent_versions.insert(in.recent_versions().begin(),
                                 in.recent_versions().end());
   report.knows_all_versions = in.knows_all_versions();
+  report.is_current = in.is_current();
   return report;
 }
 
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -435,6 +435,7 @@
   asio::steady_timer answered;  // Cancelled when no more answers are needed.
   const std::string target;
   size_t unanswered = 0;
+  size_t replies = 0;
   StreamOriginReport report;
 };
 
@@ -456,6 +457,9 @@
     error_code ignored;
     co_await inquiry->answered.async_wait(Await(ignored));
   }
+  // While nobody reaches the store, no upstream can register.
+  inquiry->report.is_current |=
+      !holders.empty() && inquiry->replies == holders.size();
   co_return inquiry->report;
 }
 
@@ -470,6 +474,7 @@
   if (response != nullptr && response->result() == http::status::ok) {
     if (auto report = DecodeOriginReport(response->body())) {
       MergeReport(inquiry->report, std::move(*report));
+      ++inquiry->replies;
     }
   }
   if (--inquiry->unanswered == 0 || inquiry->report.origin) {
@@ -477,10 +482,13 @@
   }
 }
 
-StreamOriginReport PeerExchange::ReportOrigin(std::string_view target) const {
-  return pomeloring::ReportOrigin(
+StreamOriginReport PeerExchange::ReportOrigin(std::string_view target) {
+  const Time now = Now();
+  StreamOriginReport report = pomeloring::ReportOrigin(
       m_context.router.Origins(), QueryNumber(target, kStreamParameter),
-      {QueryText(target, kServiceParameter)}, Now());
+      {QueryText(target, kServiceParameter)}, now);
+  report.is_current = m_context.feed.HasCurrentUpstreams(now);
+  return report;
 }
 
 void PeerExchange::HandleDigestBytes(std::string_view bytes) {
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -59,6 +59,8 @@
   void SendToAppender(const InstanceName& appender,
                       std::span<const KeyedOrigin> streams);
   // Asks the holders of a stream of `service`. The report merges their replies.
+  // It is current if one of them is, or if all have replied and none reaches
+  // the store.
   boost::asio::awaitable<StreamOriginReport> AskForOrigin(StreamKey key,
                                                           ServiceName service);
   // Sends counts of requests to the instance that collects them.
@@ -105,7 +107,7 @@
   boost::asio::awaitable<void> AskHolder(
       std::string address,
       std::shared_ptr<OriginInquiry> inquiry);
-  StreamOriginReport ReportOrigin(std::string_view target) const;
+  StreamOriginReport ReportOrigin(std::string_view target);
 
   PeerExchangeContext m_context;
   MembershipState m_members;
--- a/src/gateway/store.h
+++ b/src/gateway/store.h
@@ -31,7 +31,8 @@
 
 struct StorePage {
   std::vector<StoreEntry> entries;
-  LogOffset end;  // The offset to continue from.
+  LogOffset end;          // The offset to continue from.
+  bool has_more = false;  // The store has more entries, from `end` on.
 };
 
 // The requested entries have expired; call List() instead.
--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 #include "link/clock.h"
 #include "link/sleep.h"
@@ -31,6 +33,12 @@
 constexpr milliseconds kMaxRetryDelay{1000};
 // Peers that are further behind get the whole text.
 constexpr size_t kMaxKeptConfigs = 3;
+// A caller waits for it.
+constexpr milliseconds kConfirmPollInterval{5};
+// Pages of one confirmation; each has up to a MB.
+constexpr int kMaxConfirmPages = 64;
+// Two clocks that are read one after the other differ by less.
+constexpr Duration kMinSuspension = milliseconds(100);
 // An instance without a reply for this long does not count as a reader.
 constexpr Duration kAnswerLifetime = milliseconds(2200);
 
@@ -108,6 +116,7 @@
   milliseconds retry_delay = kMinRetryDelay;
   while (true) {
     const Time started_at = Now();
+    DetectSuspension(started_at);
     const bool is_reader = ShouldRead(started_at);
     const Time last_confirmed =
         std::max(m_last_read_at[topic], LastConfirmed(topic, started_at));
@@ -135,7 +144,74 @@
   }
 }
 
+// Only a call that began later can tell what the store had acknowledged by
+// then: replies and digests may have waited in this process's own sockets while
+// it was suspended.
+asio::awaitable<bool> StoreFeed::ConfirmUpstreams(Time since,
+                                                  Duration max_wait) {
+  const Time deadline = Now() + max_wait;
+  while (m_upstreams_confirmed_at < since && m_confirmation_failed_at < since &&
+         Now() < deadline) {
+    if (!m_is_confirming) {
+      m_is_confirming = true;
+      asio::co_spawn(m_context.context, ReadUpstreamsToEnd(), asio::detached);
+    }
+    co_await SleepFor(kConfirmPollInterval);
+  }
+  co_return m_upstreams_confirmed_at >= since;
+}
+
+asio::awaitable<void> StoreFeed::ReadUpstreamsToEnd() {
+  constexpr StoreTopic kTopic = StoreTopic::kUpstreams;
+  const Time started_at = Now();
+  bool is_confirmed = false;
+  for (int pages = 0; pages < kMaxConfirmPages; ++pages) {
+    const auto result = co_await m_context.store.Read(
+        kTopic, m_context.router.Upstreams().as_of, milliseconds(0));
+    const auto* page = std::get_if<StorePage>(&result);
+    const auto* refused = std::get_if<StoreRefused>(&result);
+    const bool has_expired = std::holds_alternative<HistoryExpired>(result);
+    RecordCall(page != nullptr || has_expired, "confirm",
+               refused ? refused->status : 0);
+    if (page != nullptr) {
+      ApplyEntries(kTopic, page->entries, page->end, false);
+    }
+    if (has_expired) {
+      is_confirmed = co_await ListTopic(kTopic);
+    } else {
+      is_confirmed = page != nullptr && !page->has_more;
+    }
+    if (page == nullptr || is_confirmed) {
+      break;
+    }
+  }
+  CountEvent(m_context.metrics, is_confirmed
+                                    ? "upstream_confirmations"
+                                    : "upstream_confirmation_failures");
+  Time& last =
+      is_confirmed ? m_upstreams_confirmed_at : m_confirmation_failed_at;
+  last = std::max(last, started_at);
+  m_is_confirming = false;
+}
+
+void StoreFeed::DetectSuspension(Time now) {
+  const Duration suspended = BootNow() - now;
+  if (suspended - m_suspended_time >= kMinSuspension) {
+    m_awake_since = now;
+  }
+  m_suspended_time = suspended;
+}
+
+bool StoreFeed::HasCurrentUpstreams(Time now) {
+  DetectSuspension(now);
+  const Time confirmed_at =
+      std::max(m_upstreams_confirmed_at, m_context.router.LastReaderMatch());
+  return confirmed_at >= m_awake_since &&
+         now - confirmed_at < m_settings.change_deadline;
+}
+
 asio::awaitable<bool> StoreFeed::ListTopic(StoreTopic topic) {
+  const Time started_at = Now();
   const auto result = co_await m_context.store.List(topic);
   const auto* refused = std::get_if<StoreRefused>(&result);
   const auto* list = std::get_if<StoreList>(&result);
@@ -146,6 +222,9 @@
   m_needs_list[topic] = false;
   m_next_offset[topic] = list->end;
   ApplyEntries(topic, list->entries, list->end, true);
+  if (topic == StoreTopic::kUpstreams) {
+    m_upstreams_confirmed_at = std::max(m_upstreams_confirmed_at, started_at);
+  }
   co_return true;
 }
 
@@ -153,6 +232,7 @@
   const milliseconds max_wait =
       topic == StoreTopic::kUpstreams ? kUpstreamReadWait : kConfigReadWait;
   const milliseconds wait = may_wait ? max_wait : milliseconds(0);
+  const Time started_at = Now();
   const auto result =
       co_await m_context.store.Read(topic, m_next_offset[topic], wait);
   if (std::holds_alternative<HistoryExpired>(result)) {
@@ -168,6 +248,9 @@
   }
   m_next_offset[topic] = page->end;
   ApplyEntries(topic, page->entries, page->end, false);
+  if (topic == StoreTopic::kUpstreams && !page->has_more) {
+    m_upstreams_confirmed_at = std::max(m_upstreams_confirmed_at, started_at);
+  }
   co_return true;
 }
 
--- a/src/gateway/store_feed.h
+++ b/src/gateway/store_feed.h
@@ -49,6 +49,13 @@
 
   // Whether the store has recently replied to this instance itself.
   bool IsReadingStore(Time now) const;
+  // Reads the changes that the store had acknowledged by `since`, unless they
+  // are known already. Returns false if the store did not tell within
+  // `max_wait`.
+  boost::asio::awaitable<bool> ConfirmUpstreams(Time since, Duration max_wait);
+  // Whether the store has confirmed the registrations within the deadline for
+  // changes, to this instance or to a reader that has the same ones.
+  bool HasCurrentUpstreams(Time now);
   // Whether this instance's last call to the store failed.
   bool LastCallFailed() const { return !m_is_store_reachable; }
   // Whether this instance should read the store: a few instances read it for
@@ -87,6 +94,10 @@
                     bool is_whole_list);
   Time LastConfirmed(StoreTopic topic, Time now) const;
   boost::asio::awaitable<void> Follow(StoreTopic topic);
+  // Reads to the end of the topic once, for all that wait for it.
+  boost::asio::awaitable<void> ReadUpstreamsToEnd();
+  // Notes that the process was suspended since the last call.
+  void DetectSuspension(Time now);
   boost::asio::awaitable<void> AwaitPeerState() const;
   void RecordCall(bool answered, std::string_view call, unsigned status);
 
@@ -99,6 +110,12 @@
   std::map<StoreTopic, bool> m_needs_list;
   std::map<StoreTopic, Time> m_last_read_at;
   Time m_last_answer_at;
+  // All changes that were acknowledged before are known.
+  Time m_upstreams_confirmed_at;
+  Time m_confirmation_failed_at;  // When the last call that failed began.
+  bool m_is_confirming = false;
+  Duration m_suspended_time{0};  // Of the process, up to `m_awake_since`.
+  Time m_awake_since;
   bool m_last_call_succeeded = false;  // False before the first call.
   bool m_is_store_reachable = true;    // True before the first call.
 };
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -90,6 +90,7 @@
     LogOffset as_of,
     Time now) {
   NoteRestore(as_of, now);
+  RecordChangedVersions(changes, now);
   auto changed = ApplyChanges(m_table, changes, as_of, now);
   SyncStates(changed, now);
   return changed;
@@ -505,71 +506,6 @@
   }
 }
 
-// --- Streams -----------------------------------------------------------------
-
-bool Router::RecordStreamBegin(StreamKey key,
-                               const PlacedAttempt& attempt,
-                               Time now) {
-  RecordOrigin(
-      m_origins,
-      {key, {attempt.service, attempt.upstream->record.software_version}}, true,
-      now);
-  return RecentVersions(m_origins, attempt.service).size() > 1;
-}
-
-void Router::ApplyOrigins(std::span<const KeyedOrigin> streams, Time now) {
-  for (const KeyedOrigin& stream : streams) {
-    RecordOrigin(m_origins, stream, false, now);
-  }
-}
-
-void Router::ApplyLoggedOrigins(std::span<const KeyedOrigin> streams,
-                                Time now) {
-  for (const KeyedOrigin& stream : streams) {
-    RecordLoggedOrigin(m_origins, stream, now);
-  }
-}
-
-void Router::ApplyVersions(const ServiceName& service,
-                           const std::set<std::string>& versions,
-                           bool is_complete,
-                           Time now) {
-  const bool was_mixed = RecentVersions(m_origins, service).size() > 1;
-  AddVersions(m_origins, service, versions, is_complete, now);
-  if (!was_mixed && RecentVersions(m_origins, service).size() > 1) {
-    const auto streams = StreamsOf(m_origins, {service}, true);
-    m_origins_to_send.insert(m_origins_to_send.end(), streams.begin(),
-                             streams.end());
-  }
-}
-
-VersionSets Router::RegisteredVersions() const {
-  VersionSets registered;
-  for (const auto& [name, state] : m_states) {
-    registered[state->record.service].insert(state->record.software_version);
-  }
-  return registered;
-}
-
-std::vector<KeyedOrigin> Router::TakeOriginsToSend() {
-  return std::exchange(m_origins_to_send, {});
-}
-
-void Router::UpdateVersions(Time now) {
-  std::vector<StreamOrigin> registered;
-  for (const auto& [name, state] : m_states) {
-    registered.push_back(
-        {state->record.service, state->record.software_version});
-  }
-  const auto mixed = RecordVersions(m_origins, registered, now);
-  if (!mixed.empty()) {
-    const auto streams = StreamsOf(m_origins, mixed, true);
-    m_origins_to_send.insert(m_origins_to_send.end(), streams.begin(),
-                             streams.end());
-  }
-  ExpireOrigins(m_origins, now);
-}
-
 // --- Exits -------------------------------------------------------------------
 
 // An upstream that leaves exits as planned, whatever runs there. Its load holds
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -410,6 +410,8 @@
                              Time now);
   void ProcessExits(Time now);
   void UpdateVersions(Time now);
+  void RecordChangedVersions(std::span<const UpstreamChange> changes, Time now);
+  void RecordVersionsOf(std::span<const StreamOrigin> registered, Time now);
   void AddQuarantines(const std::vector<TraitId>& traits);
   // Updates `m_states` and `m_by_service` from the records of `changed`.
   void SyncStates(std::span<const UpstreamName> changed, Time now);
--- a/src/routing/stream_resumption.cc
+++ b/src/routing/stream_resumption.cc
@@ -16,6 +16,7 @@
   }
   report.recent_versions.merge(other.recent_versions);
   report.knows_all_versions |= other.knows_all_versions;
+  report.is_current |= other.is_current;
 }
 
 std::string_view ToString(OriginSource source) {
@@ -33,8 +34,20 @@
 }
 
 std::string_view ToString(ResumptionRefusal refusal) {
-  return refusal == ResumptionRefusal::kVersionsDiffer ? "versions-differ"
-                                                       : "versions-unknown";
+  switch (refusal) {
+    case ResumptionRefusal::kVersionsDiffer:
+      return "versions-differ";
+    case ResumptionRefusal::kVersionsUnknown:
+      return "versions-unknown";
+    case ResumptionRefusal::kVersionsOutdated:
+      return "versions-outdated";
+  }
+  return "";
+}
+
+bool IsOpen(const StreamOriginReport& report) {
+  return !report.origin && (report.recent_versions.size() > 1 ||
+                            !report.knows_all_versions || !report.is_current);
 }
 
 std::variant<StreamOrigin, ResumptionRefusal> ResolveOrigin(
@@ -49,6 +62,11 @@
   if (!report.knows_all_versions) {
     return ResumptionRefusal::kVersionsUnknown;
   }
+  // An instance that was suspended or cut off may not know yet of a version
+  // that the stream began at.
+  if (!report.is_current) {
+    return ResumptionRefusal::kVersionsOutdated;
+  }
   return StreamOrigin{service, report.recent_versions.empty()
                                    ? std::string()
                                    : *report.recent_versions.begin()};
--- a/src/routing/stream_resumption.h
+++ b/src/routing/stream_resumption.h
@@ -18,8 +18,11 @@
 struct StreamOriginReport {
   std::optional<StreamOrigin> origin;
   std::set<std::string> recent_versions;  // Of the service asked for.
-  // No stream in progress began at any other.
+  // No stream in progress began at any other, as of the registrations that the
+  // instance knows.
   bool knows_all_versions = false;
+  // Those registrations are not out of date. Not told by ReportOrigin().
+  bool is_current = false;
 };
 
 // What one instance knows of a stream of `service`.
@@ -30,11 +33,18 @@
 // Adds what another instance knows.
 void MergeReport(StreamOriginReport& report, StreamOriginReport other);
 
+// Whether more knowledge is needed to tell at which version the stream began.
+bool IsOpen(const StreamOriginReport& report);
+
 // What told the version at which a stream goes on.
 enum class OriginSource { kMemory, kPeer, kLog, kOnlyVersion };
 std::string_view ToString(OriginSource source);
 
-enum class ResumptionRefusal { kVersionsDiffer, kVersionsUnknown };
+enum class ResumptionRefusal {
+  kVersionsDiffer,
+  kVersionsUnknown,
+  kVersionsOutdated,
+};
 std::string_view ToString(ResumptionRefusal refusal);
 
 // Returns the origin that is recorded, or the only version that the stream can
--- a/test/fuzz/resumed_streams_are_not_joined_test.cc
+++ b/test/fuzz/resumed_streams_are_not_joined_test.cc
@@ -1,6 +1,6 @@
-// Whatever the order of kills, releases, returns, lost and late appends, an
-// unavailable log and one restored from an older copy: no stream goes on at
-// another version than the one that began it.
+// Whatever the order of kills, freezes, releases, returns, lost and late
+// appends, an unavailable log and one restored from an older copy: no stream
+// goes on at another version than the one that began it.
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -22,7 +22,13 @@
 
   void Run(uint64_t bits) {
     const uint64_t a = bits >> 8;
-    switch (bits % 13) {
+    switch (bits % 15) {
+      case 14:
+        m_fleet.Freeze(a % m_instances);
+        break;
+      case 13:
+        m_fleet.Wake(a % m_instances);
+        break;
       case 12:
         KillDuringRelease(a);
         break;
--- a/test/gateway/stream_stays_at_its_software_version_test.cc
+++ b/test/gateway/stream_stays_at_its_software_version_test.cc
@@ -126,5 +126,56 @@
   CHECK(site.PostRequest("/draft/1", kTakesUp).ends_with(kStreamEnd));
 }
 
+// Guards against an instance that was frozen or cut off while a release went on
+// and takes the version that it knows for the only one.
+TEST_CASE("A stream does not go on where the registrations are out of date") {
+  Engines engines({"v1", "v2"});
+  for (const bool is_available : {true, false}) {
+    INFO("the store replies: ", is_available);
+    const auto store = std::make_shared<MemoryStore>(
+        std::vector<SiteUpstream>{engines.upstreams[0]});
+    SiteOptions options;
+    options.store = store;
+    const GatewaySite site({}, {}, options);
+    CHECK(site.PostRequest("/draft/1", kTakesUp).ends_with(kStreamEnd));
+    engines.TakeArrivals();
+    {
+      const std::lock_guard lock(store->mutex);
+      store->is_silent = true;
+      store->is_available = is_available;
+    }
+    // Longer than a read that is pending.
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    store->Register(engines.upstreams[1]);
+    const std::string reply = site.PostRequest("/draft/1", kTakesUp);
+    CHECK(reply.starts_with("HTTP/1.1 503"));
+    CHECK(engines.TakeArrivals().empty());
+  }
+}
+
+// Guards against refusing all streams whenever the store is away.
+TEST_CASE(
+    "A stream goes on at the only version while nobody reaches the store") {
+  Engines engines({"v1"});
+  const auto store = std::make_shared<MemoryStore>(engines.upstreams);
+  const std::string address_a = ClosedAddress();
+  const std::string address_b = ClosedAddress();
+  SiteOptions options_a{"gateway-1", address_a, {address_b}};
+  SiteOptions options_b{"gateway-2", address_b, {address_a}};
+  options_a.store = options_b.store = store;
+  const GatewaySite first({}, {}, options_a);
+  const GatewaySite second({}, {}, options_b);
+  // Until the members know each other.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  {
+    const std::lock_guard lock(store->mutex);
+    store->is_available = false;
+  }
+  // Longer than what the store has confirmed counts.
+  std::this_thread::sleep_for(std::chrono::milliseconds(3000));
+  CHECK(first.PostRequest("/draft/1", kTakesUp).ends_with(kStreamEnd));
+  CHECK(second.PostRequest("/draft/1", kTakesUp).ends_with(kStreamEnd));
+}
+
 }  // namespace
 }  // namespace pomeloring::test
--- a/test/support/gateway_site.cc
+++ b/test/support/gateway_site.cc
@@ -60,7 +60,7 @@
 
 StoreEntry EntryOf(const SiteUpstream& upstream) {
   return {upstream.id,
-          {1},
+          {},
           json::serialize(json::object{{"service", upstream.service},
                                        {"address", upstream.address},
                                        {"zone", "here"},
@@ -106,28 +106,34 @@
   const std::shared_ptr<MemoryLog> m_log;
 };
 
-// The history of the registrations has one record of each upstream.
-class FixedStore final : public Store {
+class SiteStore final : public Store {
  public:
-  FixedStore(const std::vector<SiteUpstream>& upstreams,
-             const std::vector<SiteUpstream>& departed,
-             std::chrono::milliseconds delay)
-      : m_delay(delay) {
-    for (const SiteUpstream& upstream : departed) {
-      m_history.push_back(EntryOf(upstream));
-    }
-    for (const SiteUpstream& upstream : upstreams) {
-      m_upstreams.entries.push_back(EntryOf(upstream));
-      m_history.push_back(EntryOf(upstream));
-    }
-    m_upstreams.end.value = 2;
-    m_config.entries.push_back({"config", {1}, ConfigText()});
-    m_config.end.value = 2;
-  }
+  SiteStore(std::shared_ptr<MemoryStore> store, std::chrono::milliseconds delay)
+      : m_store(std::move(store)), m_delay(delay) {}
 
   asio::awaitable<StoreListResult> List(StoreTopic topic) override {
     co_await SleepFor(m_delay);
-    co_return topic == StoreTopic::kConfiguration ? m_config : m_upstreams;
+    const std::lock_guard lock(m_store->mutex);
+    if (!m_store->is_available) {
+      co_return StoreRefused{503};
+    }
+    StoreList list;
+    if (topic == StoreTopic::kConfiguration) {
+      list.entries = {{"config", {1}, ConfigText()}};
+      list.end = {2};
+      co_return list;
+    }
+    std::map<std::string, StoreEntry> newest;
+    for (const StoreEntry& entry : m_store->history) {
+      newest[entry.key] = entry;
+    }
+    for (const auto& [key, entry] : newest) {
+      if (entry.value) {
+        list.entries.push_back(entry);
+      }
+    }
+    list.end = End();
+    co_return list;
   }
 
   asio::awaitable<StorePageResult> Read(
@@ -135,22 +141,49 @@
       LogOffset from,
       std::chrono::milliseconds wait) override {
     co_await SleepFor(wait);
+    std::unique_lock lock(m_store->mutex);
+    while (m_store->is_silent && wait.count() > 0) {
+      lock.unlock();
+      co_await SleepFor(wait);
+      lock.lock();
+    }
+    if (!m_store->is_available) {
+      co_return StoreRefused{503};
+    }
     StorePage page;
     page.end = from;
-    if (topic == StoreTopic::kUpstreams && from < m_upstreams.end) {
-      page.entries = m_history;
-      page.end = m_upstreams.end;
+    if (topic == StoreTopic::kUpstreams) {
+      for (const StoreEntry& entry : m_store->history) {
+        if (entry.offset >= from) {
+          page.entries.push_back(entry);
+        }
+      }
+      page.end = End();
     }
     co_return page;
   }
 
  private:
+  LogOffset End() const { return {m_store->history.size() + 1}; }
+
+  const std::shared_ptr<MemoryStore> m_store;
   const std::chrono::milliseconds m_delay;
-  StoreList m_config;
-  StoreList m_upstreams;
-  std::vector<StoreEntry> m_history;
 };
 
+// Those that have left are in the history only.
+std::shared_ptr<MemoryStore> MakeStore(
+    const std::vector<SiteUpstream>& upstreams,
+    const std::vector<SiteUpstream>& departed) {
+  auto store = std::make_shared<MemoryStore>(departed);
+  for (const SiteUpstream& upstream : departed) {
+    store->Remove(upstream.id);
+  }
+  for (const SiteUpstream& upstream : upstreams) {
+    store->Register(upstream);
+  }
+  return store;
+}
+
 GatewaySettings SettingsFor(const std::string& caller_address,
                             const SiteOptions& options) {
   GatewaySettings settings;
@@ -185,11 +218,30 @@
 
 }  // namespace
 
+MemoryStore::MemoryStore(const std::vector<SiteUpstream>& upstreams) {
+  for (const SiteUpstream& upstream : upstreams) {
+    Register(upstream);
+  }
+}
+
+void MemoryStore::Register(const SiteUpstream& upstream) {
+  const std::lock_guard lock(mutex);
+  history.push_back(EntryOf(upstream));
+  history.back().offset = {history.size()};
+}
+
+void MemoryStore::Remove(const std::string& id) {
+  const std::lock_guard lock(mutex);
+  history.push_back({id, {history.size() + 1}, std::nullopt});
+}
+
 // Retries with a new port: another process may bind the port that
 // ClosedAddress() found free before the gateway does.
 GatewaySite::GatewaySite(const std::vector<SiteUpstream>& upstreams,
                          std::chrono::milliseconds store_delay,
                          const SiteOptions& options) {
+  const auto store =
+      options.store ? options.store : MakeStore(upstreams, options.departed);
   for (int tries = 0; tries < 10 && !m_gateway; ++tries) {
     m_address = ClosedAddress();
     GatewaySettings settings = SettingsFor(m_address, options);
@@ -199,8 +251,7 @@
             .WithSettings(std::move(settings), "")
             .WithWireCodec(MakeCodec(options))
             .WithStoreCodec(platform::MakeStoreCodec())
-            .WithStore(std::make_unique<FixedStore>(upstreams, options.departed,
-                                                    store_delay))
+            .WithStore(std::make_unique<SiteStore>(store, store_delay))
             .WithSharedLog(options.log ? std::make_unique<SiteLog>(options.log)
                                        : nullptr)
             .WithHandlers(platform::MakeHandlers())
--- a/test/support/gateway_site.h
+++ b/test/support/gateway_site.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "gateway/gateway.h"
+#include "gateway/store.h"
 
 namespace pomeloring::test {
 
@@ -34,6 +35,22 @@
   std::map<std::string, std::vector<std::string>> topics;
 };
 
+// The contents of a store, which several sites may share and a test may change
+// while they run. All upstreams that were registered are in its history.
+struct MemoryStore {
+  explicit MemoryStore(const std::vector<SiteUpstream>& upstreams);
+
+  void Register(const SiteUpstream& upstream);
+  void Remove(const std::string& id);
+
+  std::mutex mutex;
+  bool is_available = true;
+  // Calls that wait for changes get no reply, as on a connection that has gone
+  // silent; others do.
+  bool is_silent = false;
+  std::vector<StoreEntry> history;
+};
+
 // Sites whose seeds name each other's peer address serve together.
 struct SiteOptions {
   std::string name = "gateway-1";
@@ -47,6 +64,8 @@
   std::shared_ptr<MemoryLog> log;  // Null: the gateway has no shared log.
   // Upstreams in the history of the registrations that have left.
   std::vector<SiteUpstream> departed;
+  // Null: the site has a store of its own, with the upstreams that it is given.
+  std::shared_ptr<MemoryStore> store;
 };
 
 class GatewaySite {
--- a/test/support/resuming_fleet.cc
+++ b/test/support/resuming_fleet.cc
@@ -41,7 +41,9 @@
   m_serving = std::move(serving);
   RenewRegistrations(true);
   for (Instance& instance : m_instances) {
-    Observe(instance);
+    if (!instance.is_frozen) {
+      Observe(instance);
+    }
   }
 }
 
@@ -72,6 +74,14 @@
   for (const std::string& version : m_serving) {
     registered.push_back({kService, version});
   }
+  const auto& [records, removed] = m_registrations;
+  for (size_t i = std::max(instance.observed, removed) - removed;
+       i < records.size(); ++i) {
+    if (const auto& record = records[i].second.record) {
+      registered.push_back({kService, record->software_version});
+    }
+  }
+  instance.observed = removed + records.size();
   const auto mixed = RecordVersions(instance.origins, registered, m_now);
   Tell(instance, StreamsOf(instance.origins, mixed, true));
   ExpireOrigins(instance.origins, m_now);
@@ -147,6 +157,11 @@
   };
   truncate(m_registrations);
   truncate(m_batches);
+  for (Instance& instance : m_instances) {
+    instance.observed =
+        std::min(instance.observed,
+                 m_registrations.removed + m_registrations.records.size());
+  }
   ++m_era;
 }
 
@@ -157,7 +172,7 @@
   auto version = m_serving.begin();
   std::advance(version, random % m_serving.size());
   Instance& instance = m_instances[random / 7 % m_instances.size()];
-  if (!instance.has_table) {
+  if (!instance.has_table || instance.is_frozen) {
     return;
   }
   const Stream stream{StreamKeyOf(fmt::format("r{}", ++m_begun)), *version,
@@ -176,6 +191,14 @@
   }
 }
 
+void ResumingFleet::Freeze(size_t instance) {
+  m_instances[instance].is_frozen = true;
+}
+
+void ResumingFleet::Wake(size_t instance) {
+  m_instances[instance].is_frozen = false;
+}
+
 void ResumingFleet::Kill(size_t instance) {
   m_instances[instance] = {m_names[instance]};
   Observe(m_instances[instance]);
@@ -191,21 +214,30 @@
 void ResumingFleet::Resume(size_t stream, size_t instance) {
   const Stream& resumed = m_streams[stream];
   Instance& asked = m_instances[instance];
-  const auto is_open = [](const StreamOriginReport& report) {
-    return !report.origin &&
-           (report.recent_versions.size() > 1 || !report.knows_all_versions);
-  };
   const auto ask = [&](const Instance& each) {
     return ReportOrigin(each.origins, resumed.key, kService, m_now);
   };
+  // It has not read anything yet when its caller's request is served.
+  asked.is_frozen = false;
   StreamOriginReport report = ask(asked);
-  if (is_open(report)) {
+  if (!report.origin && report.recent_versions.size() <= 1 && m_log_available) {
+    Observe(asked);
+    report = ask(asked);
+    report.is_current = true;
+  }
+  if (IsOpen(report)) {
+    bool have_all_replied = true;
     for (const auto& holder :
          ChooseHolders(resumed.key, m_names, kAskedHolders)) {
-      MergeReport(report, ask(m_instances[m_index[holder]]));
+      const Instance& peer = m_instances[m_index[holder]];
+      have_all_replied &= !peer.is_frozen;
+      if (!peer.is_frozen) {
+        MergeReport(report, ask(peer));
+      }
     }
+    report.is_current |= have_all_replied;
   }
-  if (is_open(report)) {
+  if (IsOpen(report)) {
     ReadLog(asked);
     MergeReport(report, ask(asked));
   }
@@ -244,6 +276,9 @@
     return m_now - stream.began > kStreamLifetime;
   });
   for (Instance& instance : m_instances) {
+    if (instance.is_frozen) {
+      continue;
+    }
     Observe(instance);
     if (ReadsAtStart(instance)) {
       ReadLog(instance);
--- a/test/support/resuming_fleet.h
+++ b/test/support/resuming_fleet.h
@@ -42,6 +42,10 @@
   void EndOldest();
   void Kill(size_t instance);
   void KillAll();
+  // Suspends an instance: until it wakes, it observes nothing and does not
+  // reply to peers. A stream that is resumed there wakes it.
+  void Freeze(size_t instance);
+  void Wake(size_t instance);
   // Resumes the stream at an instance.
   void Resume(size_t stream, size_t instance);
   // Lets kFleetStep pass.
@@ -68,6 +72,8 @@
     OriginQueue queue;
     bool has_table = false;
     bool has_read_log = false;
+    bool is_frozen = false;
+    size_t observed = 0;  // Changes of registrations.
   };
   template <typename Record>
   struct Topic {
