Take the known versions from peers after a start

Cause: what an instance knows of versions ended with it; a new one learnt them from the history or from 60 s of its own only. Ruled out: a longer read (the history is gone), telling all origins (a kill loses the rest).

Change: an instance that lacks versions asks peers once a second. A peer counts if it is current and has read as far as the asker had at its start.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -33,6 +33,7 @@
 #include "gateway/serve_peer_attempt.h"
 #include "gateway/store_feed.h"
 #include "gateway/usage_reports.h"
+#include "gateway/version_inquiry.h"
 #include "link/address.h"
 #include "link/clock.h"
 #include "link/problem.h"
@@ -184,6 +185,7 @@
                    }
                    if (m_origin_log) {
                      m_origin_log->Tick(Now());
+                     m_version_inquiry->Tick(Now());
                    }
                  },
                  [this](std::string_view bytes) {
@@ -392,6 +394,9 @@
         [this](std::span<const KeyedOrigin> streams) {
           m_peers.SendOrigins(streams);
         }});
+    m_version_inquiry.emplace(
+        VersionInquiryContext{m_context, m_router, m_log, m_metrics,
+                              m_gateway_context.ask_for_origin});
     m_gateway_context.append_origin = [this](const KeyedOrigin& stream) {
       m_origin_log->Append({&stream, 1});
     };
@@ -770,7 +775,8 @@
   UpstreamPool m_pool;
   StoreFeed m_feed;
   PeerExchange m_peers;
-  std::optional<OriginLog> m_origin_log;  // With a shared log.
+  std::optional<OriginLog> m_origin_log;  // With a shared log, as the next.
+  std::optional<VersionInquiry> m_version_inquiry;
   GatewayContext m_gateway_context;
   MemoryMonitor m_memory_monitor;
   ReachMonitor m_reach;
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -402,9 +402,13 @@
   }
   for (const std::string& version : report.recent_versions) {
     out.add_recent_versions(version);
+    const auto age = report.version_ages.find(version);
+    out.add_version_ages_ms(
+        age == report.version_ages.end() ? 0 : ToWholeMillis(age->second));
   }
   out.set_knows_all_versions(report.knows_all_versions);
   out.set_is_current(report.is_current);
+  out.set_complete_as_of(report.complete_as_of.value);
   return out.SerializeAsString();
 }
 
@@ -422,6 +426,12 @@
                                 in.recent_versions().end());
   report.knows_all_versions = in.knows_all_versions();
   report.is_current = in.is_current();
+  report.complete_as_of = {in.complete_as_of()};
+  for (int i = 0;
+       i < in.version_ages_ms_size() && i < in.recent_versions_size(); ++i) {
+    report.version_ages[in.recent_versions(i)] =
+        FromWholeMillis(in.version_ages_ms(i));
+  }
   return report;
 }
 
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -488,6 +488,9 @@
       m_context.router.Origins(), QueryNumber(target, kStreamParameter),
       {QueryText(target, kServiceParameter)}, now);
   report.is_current = m_context.feed.HasCurrentUpstreams(now);
+  if (report.is_current && report.knows_all_versions) {
+    report.complete_as_of = m_context.router.Upstreams().as_of;
+  }
   return report;
 }
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -284,6 +284,10 @@
                      Time now);
   // The versions of the upstreams that are registered now.
   VersionSets RegisteredVersions() const;
+  // Takes the versions that peers know; see AdoptVersions() of the origins.
+  void AdoptVersions(const ServiceName& service,
+                     const std::map<std::string, Duration>& ages,
+                     Time now);
   const StreamOrigins& Origins() const { return m_origins; }
   // Returns the streams that peers have to be told of since the last call:
   // those that began here before another version of their service came.
@@ -411,6 +415,7 @@
   void ProcessExits(Time now);
   void UpdateVersions(Time now);
   void RecordChangedVersions(std::span<const UpstreamChange> changes, Time now);
+  void SendOriginsIfNewlyMixed(const ServiceName& service, bool was_mixed);
   void RecordVersionsOf(std::span<const StreamOrigin> registered, Time now);
   void AddQuarantines(const std::vector<TraitId>& traits);
   // Updates `m_states` and `m_by_service` from the records of `changed`.
--- a/src/routing/router_streams.cc
+++ b/src/routing/router_streams.cc
@@ -33,6 +33,19 @@
                            Time now) {
   const bool was_mixed = RecentVersions(m_origins, service).size() > 1;
   AddVersions(m_origins, service, versions, is_complete, now);
+  SendOriginsIfNewlyMixed(service, was_mixed);
+}
+
+void Router::AdoptVersions(const ServiceName& service,
+                           const std::map<std::string, Duration>& ages,
+                           Time now) {
+  const bool was_mixed = RecentVersions(m_origins, service).size() > 1;
+  pomeloring::AdoptVersions(m_origins, service, ages, now);
+  SendOriginsIfNewlyMixed(service, was_mixed);
+}
+
+void Router::SendOriginsIfNewlyMixed(const ServiceName& service,
+                                     bool was_mixed) {
   if (!was_mixed && RecentVersions(m_origins, service).size() > 1) {
     const auto streams = StreamsOf(m_origins, {service}, true);
     m_origins_to_send.insert(m_origins_to_send.end(), streams.begin(),
--- a/src/routing/stream_origins.cc
+++ b/src/routing/stream_origins.cc
@@ -71,7 +71,7 @@
   if (!origins.tracking_since ||
       now - origins.last_tracked_at > kMaxTrackingGap) {
     origins.tracking_since = now;
-    origins.completed_from_store.clear();
+    origins.completed.clear();
   }
   origins.last_tracked_at = now;
   std::set<ServiceName> mixed;
@@ -98,12 +98,25 @@
   return recent;
 }
 
+std::map<std::string, Duration> VersionAges(const StreamOrigins& origins,
+                                            const ServiceName& service,
+                                            Time now) {
+  std::map<std::string, Duration> ages;
+  if (const auto found = origins.versions.find(service);
+      found != origins.versions.end()) {
+    for (const auto& [version, last_seen] : found->second) {
+      ages[version] = now - last_seen;
+    }
+  }
+  return ages;
+}
+
 bool KnowsAllRecentVersions(const StreamOrigins& origins,
                             const ServiceName& service,
                             Time now) {
   return origins.tracking_since &&
          (now - *origins.tracking_since >= kStreamRetention ||
-          origins.completed_from_store.contains(service));
+          origins.completed.contains(service));
 }
 
 void AddVersions(StreamOrigins& origins,
@@ -115,8 +128,23 @@
     origins.versions[service].insert_or_assign(version, now);
   }
   if (is_complete) {
-    origins.completed_from_store.insert(service);
+    origins.completed.insert(service);
+  }
+}
+
+// A version keeps its age: instances that restart one after the other would
+// otherwise pass on a version that has left for good.
+void AdoptVersions(StreamOrigins& origins,
+                   const ServiceName& service,
+                   const std::map<std::string, Duration>& ages,
+                   Time now) {
+  for (const auto& [version, age] : ages) {
+    if (age < kStreamRetention) {
+      Time& last_seen = origins.versions[service][version];
+      last_seen = std::max(last_seen, now - age);
+    }
   }
+  origins.completed.insert(service);
 }
 
 std::vector<KeyedOrigin> StreamsOf(const StreamOrigins& origins,
--- a/src/routing/stream_origins.h
+++ b/src/routing/stream_origins.h
@@ -48,8 +48,8 @@
   // Since when `versions` is kept.
   std::optional<Time> tracking_since;
   Time last_tracked_at;
-  // Services whose `versions` before that are known from the store.
-  std::set<ServiceName> completed_from_store;
+  // Services whose `versions` before that are known from the store or a peer.
+  std::set<ServiceName> completed;
 };
 
 // Records where a stream began, as observed here or told by a peer.
@@ -77,6 +77,11 @@
 std::set<std::string> RecentVersions(const StreamOrigins& origins,
                                      const ServiceName& service);
 
+// Since each of them was last registered.
+std::map<std::string, Duration> VersionAges(const StreamOrigins& origins,
+                                            const ServiceName& service,
+                                            Time now);
+
 // Whether RecentVersions() is known from before any such stream began.
 bool KnowsAllRecentVersions(const StreamOrigins& origins,
                             const ServiceName& service,
@@ -88,6 +93,12 @@
                  const std::set<std::string>& versions,
                  bool is_complete,
                  Time now);
+// Adds the versions that a peer knows, which are all up to when this instance
+// began to observe them itself. `ages`: since each was last registered.
+void AdoptVersions(StreamOrigins& origins,
+                   const ServiceName& service,
+                   const std::map<std::string, Duration>& ages,
+                   Time now);
 
 // Returns the streams that began here, or all, at one of `services`.
 std::vector<KeyedOrigin> StreamsOf(const StreamOrigins& origins,
--- a/src/routing/stream_resumption.cc
+++ b/src/routing/stream_resumption.cc
@@ -1,13 +1,18 @@
 #include "routing/stream_resumption.h"
 
+#include <algorithm>
+
 namespace pomeloring {
 
 StreamOriginReport ReportOrigin(const StreamOrigins& origins,
                                 StreamKey key,
                                 const ServiceName& service,
                                 Time now) {
-  return {FindOrigin(origins, key), RecentVersions(origins, service),
-          KnowsAllRecentVersions(origins, service, now)};
+  StreamOriginReport report{FindOrigin(origins, key),
+                            RecentVersions(origins, service),
+                            KnowsAllRecentVersions(origins, service, now)};
+  report.version_ages = VersionAges(origins, service, now);
+  return report;
 }
 
 void MergeReport(StreamOriginReport& report, StreamOriginReport other) {
@@ -17,6 +22,11 @@
   report.recent_versions.merge(other.recent_versions);
   report.knows_all_versions |= other.knows_all_versions;
   report.is_current |= other.is_current;
+  report.complete_as_of = std::max(report.complete_as_of, other.complete_as_of);
+  for (const auto& [version, age] : other.version_ages) {
+    const auto [known, is_new] = report.version_ages.emplace(version, age);
+    known->second = std::min(known->second, age);
+  }
 }
 
 std::string_view ToString(OriginSource source) {
--- a/src/routing/stream_resumption.h
+++ b/src/routing/stream_resumption.h
@@ -4,6 +4,7 @@
 #ifndef POMELORING_ROUTING_STREAM_RESUMPTION_H_
 #define POMELORING_ROUTING_STREAM_RESUMPTION_H_
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -23,6 +24,11 @@
   bool knows_all_versions = false;
   // Those registrations are not out of date. Not told by ReportOrigin().
   bool is_current = false;
+  // Since each of `recent_versions` was last registered.
+  std::map<std::string, Duration> version_ages;
+  // The position in the store up to which an instance that is current knows all
+  // versions; 0 if none does. Not told by ReportOrigin().
+  LogOffset complete_as_of;
 };
 
 // What one instance knows of a stream of `service`.
--- a/test/fuzz/resumed_streams_are_not_joined_test.cc
+++ b/test/fuzz/resumed_streams_are_not_joined_test.cc
@@ -22,7 +22,12 @@
 
   void Run(uint64_t bits) {
     const uint64_t a = bits >> 8;
-    switch (bits % 15) {
+    switch (bits % 16) {
+      case 15:
+        if (a % 8 == 0) {
+          m_fleet.CompactLog();
+        }
+        break;
       case 14:
         m_fleet.Freeze(a % m_instances);
         break;
--- /dev/null
+++ b/test/gateway/versions_outlive_the_history_test.cc
@@ -0,0 +1,49 @@
+// Which versions have served must stay known through a restart of all instances
+// in turn, also where the store has lost the history that tells it.
+
+#include <doctest/doctest.h>
+
+#include <thread>
+
+#include "support/gateway_site.h"
+#include "support/loopback_engine.h"
+#include "support/scripted_server.h"
+
+namespace pomeloring::test {
+namespace {
+
+constexpr char kTakesUp[] = "Resumes: r1\r\nLast-Event-Id: 1\r\n";
+// Until members know each other, and a new one has asked the others.
+constexpr std::chrono::milliseconds kJoinTime{2500};
+
+// Guards against refusing all streams that are resumed after a restart of all
+// instances, because no one of them has served for long.
+TEST_CASE("A stream goes on at the only version after a restart in turn") {
+  LoopbackEngine engine([](const std::string&) {
+    return EngineReply{.bytes = StreamHead() + StreamEvent(2) + kStreamEnd};
+  });
+  const auto store = std::make_shared<MemoryStore>(
+      std::vector<SiteUpstream>{{"e1", "engines", engine.Address()}});
+  const std::string address_a = ClosedAddress();
+  const std::string address_b = ClosedAddress();
+  SiteOptions options_a{"gateway-1", address_a, {address_b}};
+  SiteOptions options_b{"gateway-2", address_b, {address_a}};
+  options_a.store = options_b.store = store;
+  options_a.log = options_b.log = std::make_shared<MemoryLog>();
+  auto first = std::make_unique<GatewaySite>(
+      std::vector<SiteUpstream>{}, std::chrono::milliseconds(0), options_a);
+  std::this_thread::sleep_for(kJoinTime);
+  store->Compact();
+  for (int round = 0; round < 2; ++round) {
+    auto second = std::make_unique<GatewaySite>(
+        std::vector<SiteUpstream>{}, std::chrono::milliseconds(0), options_b);
+    std::this_thread::sleep_for(kJoinTime);
+    first.reset();
+    CHECK(second->PostRequest("/draft/1", kTakesUp).ends_with(kStreamEnd));
+    std::swap(options_a, options_b);
+    first = std::move(second);
+  }
+}
+
+}  // namespace
+}  // namespace pomeloring::test
--- a/test/routing/streams_resume_after_all_are_killed_test.cc
+++ b/test/routing/streams_resume_after_all_are_killed_test.cc
@@ -83,5 +83,25 @@
   }
 }
 
+// Guards against knowledge of versions that ends with the instance that has it.
+TEST_CASE("Streams go on after a restart in turn without any history") {
+  for (const size_t instances : {3, 9, 295}) {
+    ResumingFleet fleet(instances);
+    uint64_t random = instances;
+    fleet.SetVersions({"v1"});
+    Serve(fleet, seconds(15), random);
+    fleet.CompactLog();
+    for (size_t i = 0; i < instances; ++i) {
+      fleet.Kill(i);
+      Serve(fleet, seconds(1), random);
+      fleet.CompactLog();
+    }
+    ResumeAll(fleet, instances, random);
+    CHECK(fleet.Counts().joined == 0);
+    CHECK(fleet.Counts().refused == 0);
+    CHECK(fleet.Counts().continued > 0);
+  }
+}
+
 }  // namespace
 }  // namespace pomeloring
--- a/test/support/gateway_site.cc
+++ b/test/support/gateway_site.cc
@@ -150,6 +150,9 @@
     if (!m_store->is_available) {
       co_return StoreRefused{503};
     }
+    if (topic == StoreTopic::kUpstreams && from < m_store->first_retained) {
+      co_return HistoryExpired{m_store->first_retained};
+    }
     StorePage page;
     page.end = from;
     if (topic == StoreTopic::kUpstreams) {
@@ -235,6 +238,11 @@
   history.push_back({id, {history.size() + 1}, std::nullopt});
 }
 
+void MemoryStore::Compact() {
+  const std::lock_guard lock(mutex);
+  first_retained = {history.size() + 1};
+}
+
 // Retries with a new port: another process may bind the port that
 // ClosedAddress() found free before the gateway does.
 GatewaySite::GatewaySite(const std::vector<SiteUpstream>& upstreams,
--- a/test/support/gateway_site.h
+++ b/test/support/gateway_site.h
@@ -42,6 +42,8 @@
 
   void Register(const SiteUpstream& upstream);
   void Remove(const std::string& id);
+  // Deletes the history; only the newest entries remain.
+  void Compact();
 
   std::mutex mutex;
   bool is_available = true;
@@ -49,6 +51,7 @@
   // silent; others do.
   bool is_silent = false;
   std::vector<StoreEntry> history;
+  LogOffset first_retained;
 };
 
 // Sites whose seeds name each other's peer address serve together.
--- a/test/support/resuming_fleet.cc
+++ b/test/support/resuming_fleet.cc
@@ -149,6 +149,27 @@
   }
 }
 
+void ResumingFleet::CompactLog() {
+  m_registrations.removed += m_registrations.records.size();
+  m_registrations.records.clear();
+}
+
+// As VersionInquiry does, of one peer each time.
+void ResumingFleet::AskForVersions(Instance& instance) {
+  if (!instance.has_table ||
+      KnowsAllRecentVersions(instance.origins, kService, m_now)) {
+    return;
+  }
+  const auto step = static_cast<size_t>(m_now.time_since_epoch() / kFleetStep);
+  const Instance& peer =
+      m_instances[(m_index.at(instance.name) + step) % m_instances.size()];
+  if (!peer.is_frozen &&
+      KnowsAllRecentVersions(peer.origins, kService, m_now)) {
+    AdoptVersions(instance.origins, kService,
+                  VersionAges(peer.origins, kService, m_now), m_now);
+  }
+}
+
 void ResumingFleet::RestoreLog(Duration lost) {
   const auto truncate = [&](auto& topic) {
     std::erase_if(topic.records, [&](const auto& record) {
@@ -280,6 +301,7 @@
       continue;
     }
     Observe(instance);
+    AskForVersions(instance);
     if (ReadsAtStart(instance)) {
       ReadLog(instance);
     }
--- a/test/support/resuming_fleet.h
+++ b/test/support/resuming_fleet.h
@@ -52,6 +52,8 @@
   void Step();
   void SetLogAvailable(bool available) { m_log_available = available; }
   void SetNextAppend(AppendFate fate) { m_next_append = fate; }
+  // Deletes the history of the registrations.
+  void CompactLog();
   // Restores the log from a copy that lacks the last `lost` of its time.
   void RestoreLog(Duration lost);
 
@@ -86,6 +88,8 @@
   void AppendIfDue(Instance& instance);
   void RenewRegistrations(bool all);
   void ReadLog(Instance& instance);
+  // Takes the versions of a peer that knows them all.
+  void AskForVersions(Instance& instance);
   bool ReadsAtStart(const Instance& instance) const;
 
   Time m_now{seconds(1000)};
