Append the known versions while the history is partial

Callers' resumed streams were all refused for the first minute of each instance, for good, once the store had been restored (LOST; review/3).

Cause: a history with a gap was never complete again, and nothing else in the store told the versions. Ruled out: counting records since the restore (unknown place), counting over the gap (joins streams).

Change: store readers append every 5 s which versions they know and up to which position, while the history is partial; starts continue from there.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -387,6 +387,7 @@
         m_context, m_router, *m_store, *m_shared_log, m_store_codec, m_log,
         m_metrics, [this] { return m_peers.LivePeerNames(); },
         [this] { return m_feed.ShouldRead(Now()); },
+        [this] { return m_feed.IsHistoryPartial(); },
         [this](const InstanceName& appender,
                std::span<const KeyedOrigin> streams) {
           m_peers.SendToAppender(appender, streams);
--- a/src/gateway/origin_log.cc
+++ b/src/gateway/origin_log.cc
@@ -34,6 +34,10 @@
 constexpr Duration kVersionsCheckInterval = milliseconds(200);
 // A record of versions is appended for each step of a release.
 constexpr uint64_t kMaxVersionRecords = 256;
+// Of what this instance knows, while the history of the registrations is
+// partial: less than the shortest retention of the log, so that one record is
+// always there.
+constexpr Duration kKnownVersionsInterval = seconds(5);
 // The time of day may have jumped by some seconds since a record was written.
 constexpr Duration kMaxClockJump = seconds(10);
 // Of one read; a page has several hundred KB.
@@ -100,9 +104,12 @@
     return;
   }
   m_versions_due_at = now + kVersionsCheckInterval;
-  if (Lifetimes().empty() || !m_context.should_read_store()) {
-    return;
+  if (!Lifetimes().empty() && m_context.should_read_store()) {
+    AppendVersionsIfDue(now);
   }
+}
+
+void OriginLog::AppendVersionsIfDue(Time now) {
   VersionSets registered = m_context.router.RegisteredVersions();
   std::erase_if(registered, [this](const auto& entry) {
     return !m_lifetimes.contains(entry.first);
@@ -113,9 +120,45 @@
     m_is_appending_versions = true;
     asio::co_spawn(m_context.context, AppendVersions(std::move(changed)),
                    asio::detached);
+    return;
+  }
+  const bool is_partial =
+      m_context.is_history_partial() ||
+      RestoresBefore(m_context.router.Upstreams().as_of) > 0;
+  if (!is_partial || now < m_known_versions_due_at) {
+    return;
+  }
+  if (VersionSets known = KnownVersions(now); !known.empty()) {
+    m_known_versions_due_at = now + kKnownVersionsInterval;
+    m_is_appending_versions = true;
+    asio::co_spawn(m_context.context, AppendKnownVersions(std::move(known)),
+                   asio::detached);
   }
 }
 
+VersionSets OriginLog::KnownVersions(Time now) {
+  const StreamOrigins& origins = m_context.router.Origins();
+  VersionSets known;
+  for (const auto& [service, unused] : Lifetimes()) {
+    if (KnowsAllRecentVersions(origins, service, now)) {
+      known[service] = RecentVersions(origins, service);
+    }
+  }
+  return known;
+}
+
+// An instance that starts later continues from the position, so that it does
+// not need the history before. A failed append is tried again with what is
+// known then.
+asio::awaitable<void> OriginLog::AppendKnownVersions(VersionSets versions) {
+  const VersionRecord record{Now(), std::move(versions),
+                             m_context.router.Upstreams().as_of};
+  if (!co_await AppendRecord(kVersionsTopic, EncodeVersionRecord(record))) {
+    m_known_versions_due_at = Now() + kMaxRetryDelay;
+  }
+  m_is_appending_versions = false;
+}
+
 asio::awaitable<void> OriginLog::AppendBatch() {
   std::vector<KeyedOrigin> batch = TakeBatch(m_queue, Now());
   // Streams that are complete need not be known any more.
@@ -208,7 +251,7 @@
   while (IsReadUseful(Now())) {
     has_origins = has_origins || co_await ReadOrigins();
     has_versions = has_versions || co_await ReadVersions();
-    has_history = has_history || co_await ReadHistory();
+    has_history = has_history || (has_versions && co_await ReadHistory());
     if (has_origins && has_versions && has_history) {
       break;
     }
@@ -275,7 +318,8 @@
   if (next < target) {
     co_return false;
   }
-  const auto assessed = AssessHistory(changes, first, Lifetimes());
+  const auto assessed =
+      AssessHistory(changes, first, Lifetimes(), m_known_up_to);
   for (const auto& [service, history] : assessed) {
     m_context.router.ApplyVersions(service, history.versions,
                                    history.is_complete, Now());
@@ -306,6 +350,8 @@
     }
     for (const auto& [service, served] : versions->services) {
       m_context.router.ApplyVersions(service, served, false, now);
+      LogOffset& known_up_to = m_known_up_to[service];
+      known_up_to = std::max(known_up_to, versions->complete_as_of);
     }
   }
   co_return true;
--- a/src/gateway/origin_log.h
+++ b/src/gateway/origin_log.h
@@ -36,6 +36,8 @@
   std::function<std::vector<InstanceName>()> live_peers;
   // Whether this instance is one of those that read the store for all.
   std::function<bool()> should_read_store;
+  // Whether the store lacks some of the history of the registrations.
+  std::function<bool()> is_history_partial;
   std::function<void(const InstanceName&, std::span<const KeyedOrigin>)>
       send_to_appender;
   std::function<void(std::span<const KeyedOrigin>)> send_to_holders;
@@ -63,7 +65,11 @@
 
   const std::map<ServiceName, Duration>& Lifetimes();
   boost::asio::awaitable<void> AppendBatch();
+  void AppendVersionsIfDue(Time now);
   boost::asio::awaitable<void> AppendVersions(VersionSets versions);
+  // Services whose versions this instance knows, all of them.
+  VersionSets KnownVersions(Time now);
+  boost::asio::awaitable<void> AppendKnownVersions(VersionSets versions);
   boost::asio::awaitable<bool> AppendRecord(std::string topic,
                                             std::string record);
   bool IsReadUseful(Time now);
@@ -89,6 +95,9 @@
   VersionSets m_recorded_versions;
   bool m_is_appending_versions = false;
   Time m_versions_due_at;
+  Time m_known_versions_due_at;
+  // Up to where records in the log tell all versions.
+  std::map<ServiceName, LogOffset> m_known_up_to;
   ReadState m_read_state = ReadState::kNotRead;
 };
 
--- a/src/gateway/origin_record.cc
+++ b/src/gateway/origin_record.cc
@@ -43,6 +43,7 @@
   out.set_written_at_ms(std::chrono::duration_cast<milliseconds>(
                             record.written_at.time_since_epoch())
                             .count());
+  out.set_complete_as_of(record.complete_as_of.value);
   for (const auto& [service, versions] : record.services) {
     wire::ServiceVersions& entry = *out.add_services();
     entry.set_service(service.value);
@@ -80,6 +81,7 @@
     return std::nullopt;
   }
   record.written_at = Time{milliseconds{in.written_at_ms()}};
+  record.complete_as_of = {in.complete_as_of()};
   for (const wire::ServiceVersions& entry : in.services()) {
     record.services[{entry.service()}].insert(entry.versions().begin(),
                                               entry.versions().end());
--- a/src/gateway/origin_record.h
+++ b/src/gateway/origin_record.h
@@ -18,6 +18,9 @@
 struct VersionRecord {
   Time written_at;
   VersionSets services;
+  // The position in the registrations' topic up to which `services` has all
+  // versions that streams in progress may have begun at; 0: it may lack some.
+  LogOffset complete_as_of;
 };
 
 std::string EncodeOriginBatch(std::span<const KeyedOrigin> streams);
--- a/src/gateway/store.h
+++ b/src/gateway/store.h
@@ -33,6 +33,7 @@
   std::vector<StoreEntry> entries;
   LogOffset end;          // The offset to continue from.
   bool has_more = false;  // The store has more entries, from `end` on.
+  LogOffset first_retained;
 };
 
 // The requested entries have expired; call List() instead.
--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -248,6 +248,8 @@
   }
   m_next_offset[topic] = page->end;
   ApplyEntries(topic, page->entries, page->end, false);
+  m_is_history_partial |=
+      topic == StoreTopic::kUpstreams && page->first_retained.value > 0;
   if (topic == StoreTopic::kUpstreams && !page->has_more) {
     m_upstreams_confirmed_at = std::max(m_upstreams_confirmed_at, started_at);
   }
--- a/src/gateway/store_feed.h
+++ b/src/gateway/store_feed.h
@@ -62,6 +62,10 @@
   // all.
   bool ShouldRead(Time now) const;
 
+  // Whether some of the history of the registrations is missing: deleted,
+  // expired, or lost in a restore of the store.
+  bool IsHistoryPartial() const { return m_is_history_partial; }
+
   // Returns the configuration if it is newer than `version`; its difference to
   // the text with the hash `text_hash` if that one is known, else all of it.
   StoreUpdate ConfigSince(uint64_t version, uint64_t text_hash = 0) const;
@@ -113,6 +117,7 @@
   // All changes that were acknowledged before are known.
   Time m_upstreams_confirmed_at;
   Time m_confirmation_failed_at;  // When the last call that failed began.
+  bool m_is_history_partial = false;
   bool m_is_confirming = false;
   Duration m_suspended_time{0};  // Of the process, up to `m_awake_since`.
   Time m_awake_since;
--- a/src/routing/version_history.cc
+++ b/src/routing/version_history.cc
@@ -101,11 +101,13 @@
 
 // A version counts until so many renewals follow its last record that all its
 // streams have ended. After a restore of the store, records are missing
-// somewhere in the history, which is then never complete.
+// somewhere in the history: it is complete only from a position on that an
+// instance knew all versions at, and that is of the time after the restore.
 std::map<ServiceName, ServiceHistory> AssessHistory(
     std::span<const UpstreamChange> records,
     LogOffset first,
-    const std::map<ServiceName, Duration>& lifetimes) {
+    const std::map<ServiceName, Duration>& lifetimes,
+    const std::map<ServiceName, LogOffset>& known_up_to) {
   std::map<ServiceName, ServiceHistory> assessed;
   const auto in_force = RecordsInForce(records);
   RenewalCount renewals;
@@ -125,9 +127,14 @@
   const bool has_all = first.value == 0;
   const bool was_restored = RestoresBefore(first) > 0;
   for (const auto& [service, lifetime] : lifetimes) {
+    const auto known = known_up_to.find(service);
+    const bool continues_known =
+        known != known_up_to.end() && known->second >= first &&
+        RestoresBefore(known->second) == RestoresBefore(first);
+    const bool is_long_enough =
+        has_all || renewals.ElapsedAtLeast() >= lifetime + kRegistrationSlack;
     assessed[service].is_complete =
-        !was_restored &&
-        (has_all || renewals.ElapsedAtLeast() >= lifetime + kRegistrationSlack);
+        continues_known || (!was_restored && is_long_enough);
   }
   return assessed;
 }
--- a/src/routing/version_history.h
+++ b/src/routing/version_history.h
@@ -30,10 +30,13 @@
 };
 
 // `records` are all changes of the topic from `first` up to now, oldest first.
+// Up to the positions in `known_up_to`, all versions of a service are known
+// otherwise; `versions` need not have them.
 std::map<ServiceName, ServiceHistory> AssessHistory(
     std::span<const UpstreamChange> records,
     LogOffset first,
-    const std::map<ServiceName, Duration>& lifetimes);
+    const std::map<ServiceName, Duration>& lifetimes,
+    const std::map<ServiceName, LogOffset>& known_up_to = {});
 
 }  // namespace pomeloring
 
--- a/test/gateway/versions_outlive_the_history_test.cc
+++ b/test/gateway/versions_outlive_the_history_test.cc
@@ -45,5 +45,38 @@
   }
 }
 
+// Guards against refusing all streams after all instances were killed, where
+// the history does not reach back far enough or has a gap from a restore.
+TEST_CASE("A stream goes on at the only version when all instances are new") {
+  LoopbackEngine engine([](const std::string&) {
+    return EngineReply{.bytes = StreamHead() + StreamEvent(2) + kStreamEnd};
+  });
+  for (const bool is_restored : {false, true}) {
+    INFO("restored: ", is_restored);
+    const auto store = std::make_shared<MemoryStore>(
+        std::vector<SiteUpstream>{{"e1", "engines", engine.Address()}});
+    SiteOptions options;
+    options.store = store;
+    options.log = std::make_shared<MemoryLog>();
+    {
+      const GatewaySite first({}, {}, options);
+      std::this_thread::sleep_for(kJoinTime);
+      if (is_restored) {
+        store->Restore(0);
+      } else {
+        store->Compact();
+      }
+      std::this_thread::sleep_for(kJoinTime);
+    }
+    const GatewaySite second({}, {}, options);
+    CHECK(second.PostRequest("/draft/1", kTakesUp).ends_with(kStreamEnd));
+    // What was registered after the record counts too.
+    store->Register({"e2", "engines", "127.0.0.1:9", "v2"});
+    store->Remove("e2");
+    const GatewaySite third({}, {}, options);
+    CHECK(third.PostRequest("/draft/1", kTakesUp).starts_with("HTTP/1.1 503"));
+  }
+}
+
 }  // namespace
 }  // namespace pomeloring::test
--- a/test/routing/registration_history_tells_versions_test.cc
+++ b/test/routing/registration_history_tells_versions_test.cc
@@ -13,6 +13,7 @@
 
 const ServiceName kService{kEngineService};
 constexpr Duration kLifetime = seconds(8);
+constexpr uint64_t kEra = uint64_t{1} << kPositionOffsetBits;
 
 struct Case {
   const char* name;
@@ -23,6 +24,7 @@
   uint64_t era = 0;
   std::set<std::string> versions;
   bool is_complete = false;
+  uint64_t known_up_to = 0;  // A position that includes the restores.
 };
 
 TEST_CASE("A history tells which versions served, and from when on") {
@@ -37,6 +39,11 @@
       {"restored from a copy", 0, 40, 0, 1, 1, {"v2"}, false},
       {"restored, from the beginning", 0, 12, 0, 0, 1, {"v2"}, false},
       {"empty", 0, 0, 0, 1, 0, {}, false},
+      {"known before, no gap", 0, 1, 0, 9, 0, {"v2"}, true, 9},
+      {"known before, records missing since", 0, 1, 0, 9, 0, {"v2"}, false, 8},
+      {"restored, known since", 0, 1, 0, 9, 1, {"v2"}, true, kEra + 9},
+      {"known before the restore", 0, 40, 0, 1, 1, {"v2"}, false, 20},
+      {"known before a second one", 0, 40, 0, 1, 2, {"v2"}, false, kEra + 20},
   };
   for (const Case& each : cases) {
     INFO(std::string(each.name));
@@ -58,9 +65,9 @@
     for (int i = 0; i < each.v2_extra; ++i) {
       write("v2", 0);
     }
-    const auto assessed =
-        AssessHistory(records, {each.era << kPositionOffsetBits | each.first},
-                      {{kService, kLifetime}});
+    const auto assessed = AssessHistory(
+        records, {each.era << kPositionOffsetBits | each.first},
+        {{kService, kLifetime}}, {{kService, {each.known_up_to}}});
     CHECK(assessed.at(kService).versions == each.versions);
     CHECK(assessed.at(kService).is_complete == each.is_complete);
   }
--- a/test/support/gateway_site.cc
+++ b/test/support/gateway_site.cc
@@ -83,7 +83,7 @@
     }
     auto& records = m_log->topics[topic];
     records.push_back(std::move(record));
-    co_return LogAppended{{records.size() - 1}};
+    co_return LogAppended{Position(records.size() - 1)};
   }
 
   asio::awaitable<SharedReadResult> Read(std::string topic,
@@ -95,14 +95,20 @@
     }
     const auto& records = m_log->topics[topic];
     SharedLogPage page;
-    page.end = {records.size()};
-    for (uint64_t at = from.value; at < records.size(); ++at) {
-      page.records.push_back({{at}, records[at]});
+    page.first_retained = Position(0);
+    page.end = Position(records.size());
+    for (uint64_t at = from < Position(0) ? 0 : from.value - Position(0).value;
+         at < records.size(); ++at) {
+      page.records.push_back({Position(at), records[at]});
     }
     co_return page;
   }
 
  private:
+  LogOffset Position(uint64_t offset) const {
+    return {m_log->era << kPositionOffsetBits | offset};
+  }
+
   const std::shared_ptr<MemoryLog> m_log;
 };
 
@@ -129,10 +135,11 @@
     }
     for (const auto& [key, entry] : newest) {
       if (entry.value) {
-        list.entries.push_back(entry);
+        list.entries.push_back(
+            {key, Position(entry.offset.value), entry.value});
       }
     }
-    list.end = End();
+    list.end = Position(m_store->history.size() + 1);
     co_return list;
   }
 
@@ -150,24 +157,28 @@
     if (!m_store->is_available) {
       co_return StoreRefused{503};
     }
-    if (topic == StoreTopic::kUpstreams && from < m_store->first_retained) {
-      co_return HistoryExpired{m_store->first_retained};
+    const LogOffset first = Position(m_store->first_retained.value);
+    if (topic == StoreTopic::kUpstreams && from < first) {
+      co_return HistoryExpired{first};
     }
     StorePage page;
     page.end = from;
     if (topic == StoreTopic::kUpstreams) {
       for (const StoreEntry& entry : m_store->history) {
-        if (entry.offset >= from) {
-          page.entries.push_back(entry);
+        if (const LogOffset at = Position(entry.offset.value); at >= from) {
+          page.entries.push_back({entry.key, at, entry.value});
         }
       }
-      page.end = End();
+      page.end = Position(m_store->history.size() + 1);
+      page.first_retained = first;
     }
     co_return page;
   }
 
  private:
-  LogOffset End() const { return {m_store->history.size() + 1}; }
+  LogOffset Position(uint64_t offset) const {
+    return {m_store->era << kPositionOffsetBits | offset};
+  }
 
   const std::shared_ptr<MemoryStore> m_store;
   const std::chrono::milliseconds m_delay;
@@ -243,6 +254,19 @@
   first_retained = {history.size() + 1};
 }
 
+void MemoryStore::Restore(size_t lost) {
+  const std::lock_guard lock(mutex);
+  history.resize(history.size() - lost);
+  ++era;
+}
+
+void MemoryLog::Restore(const std::string& topic, size_t lost) {
+  const std::lock_guard lock(mutex);
+  auto& records = topics[topic];
+  records.resize(records.size() - std::min(lost, records.size()));
+  ++era;
+}
+
 // Retries with a new port: another process may bind the port that
 // ClosedAddress() found free before the gateway does.
 GatewaySite::GatewaySite(const std::vector<SiteUpstream>& upstreams,
--- a/test/support/gateway_site.h
+++ b/test/support/gateway_site.h
@@ -33,6 +33,10 @@
   std::mutex mutex;
   bool is_available = true;
   std::map<std::string, std::vector<std::string>> topics;
+  uint64_t era = 0;
+
+  // Takes a topic back to a copy without its last `lost` records.
+  void Restore(const std::string& topic, size_t lost);
 };
 
 // The contents of a store, which several sites may share and a test may change
@@ -44,14 +48,17 @@
   void Remove(const std::string& id);
   // Deletes the history; only the newest entries remain.
   void Compact();
+  // Takes the store back to a copy that lacks the last `lost` changes.
+  void Restore(size_t lost);
 
   std::mutex mutex;
   bool is_available = true;
   // Calls that wait for changes get no reply, as on a connection that has gone
   // silent; others do.
   bool is_silent = false;
-  std::vector<StoreEntry> history;
+  std::vector<StoreEntry> history;  // Offsets begin at 1.
   LogOffset first_retained;
+  uint64_t era = 0;
 };
 
 // Sites whose seeds name each other's peer address serve together.
