Append origins again after a restore of the log

Cause: an acknowledged append of an origin was taken for good, but a restore loses what was acknowledged since the copy. Ruled out: a failed read after the start, a late append.

Change: each instance appends all origins that it holds, and the versions, once for each restore that it sees.

--- a/src/gateway/origin_log.cc
+++ b/src/gateway/origin_log.cc
@@ -95,7 +95,27 @@
   }
 }
 
+// All instances that hold an origin append it: the one that recorded it may
+// have ended, and a datagram to an appender may be lost.
+void OriginLog::RepeatAfterRestore(Time now) {
+  const StreamOrigins& origins = m_context.router.Origins();
+  const uint64_t restores = RestoresBefore(m_context.router.Upstreams().as_of);
+  if (restores <= m_restores) {
+    return;
+  }
+  m_restores = restores;
+  m_recorded_versions.clear();
+  m_versions_due_at = now;
+  m_known_versions_due_at = now;
+  const auto streams = StreamsOf(origins, MixedServices(origins), false);
+  m_context.log.Write(LogLevel::kInfo, "origins-repeated",
+                      {{"streams", std::to_string(streams.size())},
+                       {"restores", std::to_string(restores)}});
+  Append(streams);
+}
+
 void OriginLog::Tick(Time now) {
+  RepeatAfterRestore(now);
   if (!m_is_appending && IsBatchDue(m_queue, now)) {
     m_is_appending = true;
     asio::co_spawn(m_context.context, AppendBatch(), asio::detached);
--- a/src/gateway/origin_log.h
+++ b/src/gateway/origin_log.h
@@ -65,6 +65,8 @@
 
   const std::map<ServiceName, Duration>& Lifetimes();
   boost::asio::awaitable<void> AppendBatch();
+  // Appends again what the log may have lost in a restore from an older copy.
+  void RepeatAfterRestore(Time now);
   void AppendVersionsIfDue(Time now);
   boost::asio::awaitable<void> AppendVersions(VersionSets versions);
   // Services whose versions this instance knows, all of them.
@@ -90,6 +92,7 @@
   std::optional<uint64_t> m_lifetimes_of;  // Version of the configuration.
   std::map<ServiceName, Duration> m_lifetimes;
   OriginQueue m_queue;
+  uint64_t m_restores = 0;  // Of the log, that are known here.
   bool m_is_appending = false;
   bool m_append_failed = false;
   VersionSets m_recorded_versions;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -597,13 +597,7 @@
 void PeerExchange::AdvertiseLeaving() {
   m_leaving = true;
   const StreamOrigins& origins = m_context.router.Origins();
-  std::set<ServiceName> mixed;
-  for (const auto& [service, versions] : origins.versions) {
-    if (versions.size() > 1) {
-      mixed.insert(service);
-    }
-  }
-  SendOrigins(StreamsOf(origins, mixed, false));
+  SendOrigins(StreamsOf(origins, MixedServices(origins), false));
   ProcessOutput(pomeloring::AdvertiseLeaving(m_members, Now()));
   m_last_digest_at = Time{};
   SendDigests(Now());
--- a/src/routing/stream_origins.cc
+++ b/src/routing/stream_origins.cc
@@ -147,6 +147,16 @@
   origins.completed.insert(service);
 }
 
+std::set<ServiceName> MixedServices(const StreamOrigins& origins) {
+  std::set<ServiceName> mixed;
+  for (const auto& [service, versions] : origins.versions) {
+    if (versions.size() > 1) {
+      mixed.insert(service);
+    }
+  }
+  return mixed;
+}
+
 std::vector<KeyedOrigin> StreamsOf(const StreamOrigins& origins,
                                    const std::set<ServiceName>& services,
                                    bool began_here_only) {
--- a/src/routing/stream_origins.h
+++ b/src/routing/stream_origins.h
@@ -100,6 +100,9 @@
                    const std::map<std::string, Duration>& ages,
                    Time now);
 
+// The services of which several versions have served lately.
+std::set<ServiceName> MixedServices(const StreamOrigins& origins);
+
 // Returns the streams that began here, or all, at one of `services`.
 std::vector<KeyedOrigin> StreamsOf(const StreamOrigins& origins,
                                    const std::set<ServiceName>& services,
--- a/test/gateway/streams_outlive_all_instances_test.cc
+++ b/test/gateway/streams_outlive_all_instances_test.cc
@@ -17,6 +17,8 @@
 
 constexpr char kTakesUp[] = "Resumes: r1\r\nLast-Event-Id: 1\r\n";
 constexpr std::chrono::milliseconds kAppendTime{600};
+// The next read of the registrations, and an append.
+constexpr std::chrono::milliseconds kRestoreNoticeTime{2000};
 
 // Engines whose streams break off after one event until they are resumed.
 struct Engines {
@@ -68,6 +70,30 @@
   }
 }
 
+// Guards against taking an append for good that the store has lost since.
+TEST_CASE("A stream goes on at its version after a restore and a kill") {
+  for (int round = 0; round < 4; ++round) {
+    Engines engines({"v1", "v1", "v2", "v2"});
+    const auto log = std::make_shared<MemoryLog>();
+    const auto store = std::make_shared<MemoryStore>(engines.upstreams);
+    SiteOptions options;
+    options.log = log;
+    options.store = store;
+    {
+      const GatewaySite first({}, {}, options);
+      first.PostRequest("/draft/1");
+      std::this_thread::sleep_for(kAppendTime);
+      log->Restore("pomeloring.stream-origins", 1);
+      log->Restore("pomeloring.service-versions", 1);
+      store->Restore(0);
+      std::this_thread::sleep_for(kRestoreNoticeTime);
+    }
+    const GatewaySite second({}, {}, options);
+    CHECK(second.PostRequest("/draft/1", kTakesUp).ends_with(kStreamEnd));
+    CHECK(engines.arrivals.size() == 1);
+  }
+}
+
 TEST_CASE("Nothing is appended while one version serves") {
   Engines engines({"v1", "v1"});
   SiteOptions options;
--- a/test/routing/streams_resume_after_all_are_killed_test.cc
+++ b/test/routing/streams_resume_after_all_are_killed_test.cc
@@ -83,6 +83,24 @@
   }
 }
 
+// Guards against taking an append for good that a restore has lost since.
+TEST_CASE("Streams go on after a restore of the log and a kill of all") {
+  for (const size_t instances : {3, 9, 295}) {
+    ResumingFleet fleet(instances);
+    uint64_t random = instances;
+    fleet.SetVersions({"v1", "v2"});
+    Serve(fleet, seconds(15), random);
+    fleet.RestoreLog(seconds(4));
+    Serve(fleet, seconds(3), random);
+    fleet.KillAll();
+    ResumeAll(fleet, instances, random);
+    const ResumptionCounts& counts = fleet.Counts();
+    CHECK(counts.joined == 0);
+    CHECK(counts.continued >=
+          kMinContinued * (counts.continued + counts.refused));
+  }
+}
+
 // Guards against knowledge of versions that ends with the instance that has it.
 TEST_CASE("Streams go on after a restart in turn without any history") {
   for (const size_t instances : {3, 9, 295}) {
--- a/test/support/resuming_fleet.cc
+++ b/test/support/resuming_fleet.cc
@@ -104,6 +104,17 @@
   QueueOrigins(appender->queue, streams, m_now);
 }
 
+// As OriginLog::RepeatAfterRestore().
+void ResumingFleet::RepeatAfterRestore(Instance& instance) {
+  if (instance.has_table && m_log_available && instance.era < m_era) {
+    instance.era = m_era;
+    QueueOrigins(
+        instance.queue,
+        StreamsOf(instance.origins, MixedServices(instance.origins), false),
+        m_now);
+  }
+}
+
 void ResumingFleet::AppendIfDue(Instance& instance) {
   if (!IsBatchDue(instance.queue, m_now)) {
     return;
@@ -305,6 +316,7 @@
     if (ReadsAtStart(instance)) {
       ReadLog(instance);
     }
+    RepeatAfterRestore(instance);
     AppendIfDue(instance);
   }
 }
--- a/test/support/resuming_fleet.h
+++ b/test/support/resuming_fleet.h
@@ -76,6 +76,7 @@
     bool has_read_log = false;
     bool is_frozen = false;
     size_t observed = 0;  // Changes of registrations.
+    uint64_t era = 0;
   };
   template <typename Record>
   struct Topic {
@@ -85,6 +86,7 @@
 
   void Observe(Instance& instance);
   void Tell(Instance& instance, std::span<const KeyedOrigin> streams);
+  void RepeatAfterRestore(Instance& instance);
   void AppendIfDue(Instance& instance);
   void RenewRegistrations(bool all);
   void ReadLog(Instance& instance);
