Take no request during a stop that may outlast it

Cause: a stopping instance took every request for 3.5 s of its 8 s, however long it could last, and cut what ran at the end. Ruled out: written replies that get lost on closing, requests of peers that are not waited for.

Change: a request is taken if its timeout ends before the stop; others that may be repeated until most callers look the addresses up again.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -120,14 +120,17 @@
       !m_config->accounts.empty()) {
     return LocalReply{401, "unknown-key", "no client account has this key"};
   }
-  if (m_gateway.reject_requests) {
-    return LocalReply{503, "stopping", "this instance is stopping",
-                      milliseconds(1)};
-  }
   m_timeout = m_route->timeout.count() > 0 ? m_route->timeout : kDefaultTimeout;
   if (m_metadata.time_left) {
     m_timeout = std::min(m_timeout, *m_metadata.time_left);
   }
+  const bool outlasts_stop =
+      m_gateway.stop &&
+      !EndsBeforeStop(*m_gateway.stop, m_timeout, IsRetryable(*m_route), Now());
+  if (m_gateway.reject_requests || outlasts_stop) {
+    return LocalReply{503, "stopping", "this instance is stopping",
+                      milliseconds(1)};
+  }
   if (m_account != nullptr) {
     m_account_id = AccountIdOf(m_account->name.value);
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -728,6 +728,13 @@
     }
     m_gateway_context.close_after_reply = true;
     const auto deadline = started_at + m_settings.drain_timeout - kExitMargin;
+    // Until most callers look the addresses up again, the most part of longer
+    // requests ends in time, and each refusal would cost its caller a retry.
+    const Time now = Now();
+    m_gateway_context.stop =
+        StopSchedule{now + std::min<Duration>(m_settings.address_ttl,
+                                              m_settings.drain_timeout / 4),
+                     now + m_settings.drain_timeout - kExitMargin};
     const auto addresses_expire_at = std::min(
         started_at + kAddressTtlFactor * m_settings.address_ttl + kDrainMargin,
         deadline);
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -24,6 +24,23 @@
 class ClientConnection;
 class Exchange;
 
+// Of a graceful shutdown.
+struct StopSchedule {
+  // From then on, only requests are taken that end before `ends_at`.
+  Time takes_all_until;
+  Time ends_at;  // What is still in progress is cut.
+};
+
+// Whether a request with `timeout` may be taken at `now`. One that may not run
+// twice is never taken if it could be cut.
+inline bool EndsBeforeStop(const StopSchedule& stop,
+                           Duration timeout,
+                           bool is_retryable,
+                           Time now) {
+  return now + timeout <= stop.ends_at ||
+         (is_retryable && now < stop.takes_all_until);
+}
+
 struct GatewayContext {
   boost::asio::io_context& context;
   Router& router;
@@ -35,7 +52,8 @@
   // Set during a graceful shutdown.
   bool close_after_reply = false;  // Closes each connection after a reply.
   bool reject_requests = false;    // New requests get a 503.
-  size_t active_exchanges = 0;     // Requests in progress.
+  std::optional<StopSchedule> stop;
+  size_t active_exchanges = 0;             // Requests in progress.
   std::set<Exchange*> admitted_exchanges;  // Those that may reach an upstream.
   std::set<ClientConnection*> callers;     // All open connections of callers.
   uint64_t memory_refusals = 0;            // Since the start.
--- a/src/gateway/serve_peer_attempt.cc
+++ b/src/gateway/serve_peer_attempt.cc
@@ -120,7 +120,7 @@
   const auto upstream = gateway.router.FindUpstream(request->upstream);
   const bool is_busy =
       !gateway.is_member(request->sender, request->incarnation) ||
-      !gateway.router.IsReady() || gateway.reject_requests ||
+      !gateway.router.IsReady() || gateway.stop ||
       gateway.active_peer_attempts >= kMaxPeerAttempts || !is_admitted;
   if (is_busy || !upstream) {
     const PeerOutcome outcome =
--- a/test/support/gateway_site.cc
+++ b/test/support/gateway_site.cc
@@ -216,6 +216,7 @@
   settings.features = options.features;
   settings.memory_mb = options.memory_mb;
   settings.address_ttl = std::chrono::seconds(0);
+  settings.drain_timeout = options.drain_timeout;
   settings.log_level = "error";
   return settings;
 }
--- a/test/support/gateway_site.h
+++ b/test/support/gateway_site.h
@@ -76,6 +76,7 @@
   std::vector<SiteUpstream> departed;
   // Null: the site has a store of its own, with the upstreams that it is given.
   std::shared_ptr<MemoryStore> store;
+  std::chrono::seconds drain_timeout{8};
 };
 
 class GatewaySite {
@@ -88,6 +89,8 @@
   GatewaySite(const GatewaySite&) = delete;
   GatewaySite& operator=(const GatewaySite&) = delete;
 
+  // Begins a graceful shutdown.
+  void Stop() { m_gateway->Stop(); }
   // For callers, IP:port.
   const std::string& Address() const { return m_address; }
   // Sends `bytes` over a new connection and returns everything received until
