Bound all replies that are read whole together

Another operator's report: replies without end filled a machine's memory and ended other callers' requests (LOST).

Cause: each reply has a bound, their sum had none, and the deploy template sets no limit for buffers. Ruled out: the eleven forms of endless bytes one at a time, which were bounded.

Change: a reply of 256 KB or more is cut once all of them hold a quarter of the limit, or 32 MB without one.

--- a/src/gateway/memory_monitor.cc
+++ b/src/gateway/memory_monitor.cc
@@ -79,15 +79,15 @@
 
 void MemoryMonitor::UpdateGauges() {
   const MemoryBudget& budget = m_gateway.memory;
-  if (budget.limit == 0) {
-    return;
-  }
   auto& gauges = m_gateway.metrics.gauges;
   for (size_t i = 0; i < kMemoryKinds; ++i) {
     gauges[fmt::format("memory_held_bytes{{kind=\"{}\"}}",
                        ToString(static_cast<MemoryKind>(i)))] =
         static_cast<double>(budget.held[i]);
   }
+  if (budget.limit == 0) {
+    return;
+  }
   gauges["memory_limit_bytes"] = static_cast<double>(budget.limit);
   gauges["memory_level"] = static_cast<double>(LevelOf(budget));
 }
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -461,6 +461,10 @@
       LogExceeded("reply-body");
       co_return false;
     }
+    if (!MayReplyGrow(m_gateway.memory, parser.get().body().size())) {
+      LogExceeded("all-replies");
+      co_return false;
+    }
   }
   co_return true;
 }
--- a/src/memory/memory_budget.cc
+++ b/src/memory/memory_budget.cc
@@ -34,6 +34,12 @@
 
 constexpr Duration kMinUntakenToDrop = seconds(5);
 
+// Replies that are smaller are never cut.
+constexpr size_t kLargeReplyBytes = size_t{256} * 1024;
+// Of all replies, without a limit: a fifth of the smallest process's memory.
+constexpr uint64_t kMaxReplyBytes = 32 * kMegabyte;
+constexpr uint64_t kReplyFraction = 4;  // A quarter of the limit, with one.
+
 }  // namespace
 
 std::string_view ToString(MemoryKind kind) {
@@ -142,6 +148,15 @@
   return least + Duration{static_cast<int64_t>(random % (spread + 1))};
 }
 
+// Faulty upstreams may send without end on all connections at once. Each reply
+// has a bound of its own, but their sum does not.
+bool MayReplyGrow(const MemoryBudget& budget, size_t bytes) {
+  const uint64_t max_held =
+      budget.limit > 0 ? budget.limit / kReplyFraction : kMaxReplyBytes;
+  const auto kind = static_cast<size_t>(MemoryKind::kReplies);
+  return bytes < kLargeReplyBytes || budget.held[kind] <= max_held;
+}
+
 size_t MaxHeldOfStream(MemoryLevel level, Duration untaken_for) {
   if (level >= MemoryLevel::kRefuseLarge) {
     // The rest of the budget is for new requests.
--- a/src/memory/memory_budget.h
+++ b/src/memory/memory_budget.h
@@ -81,6 +81,10 @@
 // callers that are refused together.
 Duration RetryAfterRefusal(MemoryLevel level, uint64_t random);
 
+// Returns whether a reply that is read whole, and has `bytes` so far, may grow
+// further beside all others.
+bool MayReplyGrow(const MemoryBudget& budget, size_t bytes);
+
 // Returns how many bytes of a stream may be held when the next ones are read
 // from its upstream; 0: only once its caller has taken everything.
 // `untaken_for` is the time since the caller last took a byte.
--- a/test/gateway/bytes_without_end_are_cut_off_test.cc
+++ b/test/gateway/bytes_without_end_are_cut_off_test.cc
@@ -4,7 +4,9 @@
 #include <doctest/doctest.h>
 
 #include <fstream>
+#include <list>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "support/gateway_site.h"
@@ -16,6 +18,7 @@
 // The largest reply that is kept whole, and what sockets on the way buffer.
 constexpr size_t kMaxBytesSent = size_t{16} * 1024 * 1024;
 constexpr size_t kMaxMemoryGrowth = size_t{32} * 1024 * 1024;
+constexpr std::chrono::milliseconds kFillTime{700};
 constexpr char kSignedFields[] =
     "X-Request-Id: r1\r\nX-Response-Seal: seal-1\r\n";
 
@@ -91,5 +94,40 @@
   }
 }
 
+// Guards against bounds for each reply alone: many that stay below theirs and
+// never end would fill the memory together.
+TEST_CASE("Endless bytes of many upstreams share one bound") {
+  constexpr int kUpstreams = 12;
+  const std::string large(size_t{7} * 1024 * 1024, 'x');
+  std::list<LoopbackEngine> engines;
+  std::vector<SiteUpstream> upstreams;
+  for (int i = 0; i < kUpstreams; ++i) {
+    engines.emplace_back([&](const std::string&) {
+      return EngineReply{.bytes = Head("\r\n") + large,
+                         .silence = std::chrono::milliseconds(1200)};
+    });
+    upstreams.push_back(
+        {"e" + std::to_string(i), "plain", engines.back().Address()});
+  }
+  const GatewaySite site(upstreams);
+  site.PostRequest("/none/1");
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kUpstreams; ++i) {
+    callers.emplace_back([&] {
+      site.SendWithIdleTimeout(
+          "POST /stamp/1 HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: r1\r\n"
+          "X-Key: key-1\r\nContent-Length: 0\r\n\r\n",
+          std::chrono::milliseconds(2500));
+    });
+  }
+  std::this_thread::sleep_for(kFillTime);
+  const uint64_t held = site.Metric("memory_held_bytes{kind=\"replies\"}");
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK(held > 0);
+  CHECK(held <= kMaxMemoryGrowth + large.size());
+}
+
 }  // namespace
 }  // namespace pomeloring::test
