--- a/src/link/caller_api.cc
+++ b/src/link/caller_api.cc
@@ -380,7 +380,8 @@
         BadRequest{405, "unsupported-method", "the method", "use GET"}, "");
   }
   json::array entries;
-  for (const auto& [name, member] : context.instance.View()->live) {
+  const auto view = context.instance.View();
+  for (const auto& [name, member] : view->live) {
     entries.push_back(json::object{
         {"address", member.caller_address},
         {"instance", name.value},
--- a/test/support/routing_site.cc
+++ b/test/support/routing_site.cc
@@ -109,7 +109,8 @@
                          const std::string& route,
                          uint32_t prompt_tokens) {
   AttemptRequest request;
-  for (const Route& candidate : router.Config()->routes) {
+  const auto config = router.Config();
+  for (const Route& candidate : config->routes) {
     if (candidate.name == route) {
       request.route = &candidate;
     }
