--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -728,8 +728,8 @@
     }
     m_gateway_context.close_after_reply = true;
     const auto deadline = started_at + m_settings.drain_timeout - kExitMargin;
-    // Until most callers look the addresses up again, the most part of longer
-    // requests ends in time, and each refusal would cost its caller a retry.
+    // Until most callers look the addresses up again, longer requests are taken
+    // too: most end in time, and a refusal costs the caller a retry.
     const Time now = Now();
     m_gateway_context.stop =
         StopSchedule{now + std::min<Duration>(m_settings.address_ttl,
--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -195,11 +195,11 @@
 }
 
 void StoreFeed::DetectSuspension(Time now) {
-  const Duration suspended = BootNow() - now;
-  if (suspended - m_suspended_time >= kMinSuspension) {
+  const Duration offset = BootNow() - now;
+  if (offset - m_boottime_offset >= kMinSuspension) {
     m_awake_since = now;
   }
-  m_suspended_time = suspended;
+  m_boottime_offset = offset;
 }
 
 bool StoreFeed::HasCurrentUpstreams(Time now) {
--- a/src/gateway/store_feed.h
+++ b/src/gateway/store_feed.h
@@ -119,7 +119,9 @@
   Time m_confirmation_failed_at;  // When the last call that failed began.
   bool m_is_history_partial = false;
   bool m_is_confirming = false;
-  Duration m_suspended_time{0};  // Of the process, up to `m_awake_since`.
+  // BootNow() less Now(), as of the last call of DetectSuspension(): it grows
+  // while the process is suspended.
+  Duration m_boottime_offset{0};
   Time m_awake_since;
   bool m_last_call_succeeded = false;  // False before the first call.
   bool m_is_store_reachable = true;    // True before the first call.
