Log refusals by upstreams and replies to other requests

A repeated refusal could not be told from the refusal of the request in progress: neither was logged. `attempt-not-executed` gives the status, the kind of connection and the time since the request was sent; `foreign-reply` names the request that a discarded reply belongs to. attempts_not_executed counts the former.

--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -419,7 +419,7 @@
     }
     ++foreign_replies;
     m_saw_foreign_reply = true;
-    CountEvent(m_gateway.metrics, "foreign_replies");
+    LogForeignReply(metadata, head.result_int());
     if (!co_await ReadWholeBody(*parser, kMaxForeignReplyBytes)) {
       co_return false;
     }
@@ -427,6 +427,31 @@
   co_return false;
 }
 
+void UpstreamAttempt::LogForeignReply(const ReplyMetadata& metadata,
+                                      unsigned status) {
+  CountEvent(m_gateway.metrics, "foreign_replies");
+  m_gateway.log.Write(
+      LogLevel::kWarning, "foreign-reply",
+      {{"request", m_request.id},
+       {"upstream", m_attempt->upstream->record.id.value},
+       {"reply_to", metadata.request_id},
+       {"status", std::to_string(status)},
+       {"not_executed", metadata.not_executed ? "true" : "false"}});
+}
+
+// A refusal that arrives sooner than a reply can is a sign of a repeated one.
+void UpstreamAttempt::LogNotExecuted() {
+  CountEvent(m_gateway.metrics, "attempts_not_executed");
+  m_gateway.log.Write(
+      LogLevel::kInfo, "attempt-not-executed",
+      {{"request", m_request.id},
+       {"upstream", m_attempt->upstream->record.id.value},
+       {"status", std::to_string(m_reply.status)},
+       {"connection", m_is_on_reused ? "reused" : "new"},
+       {"peer", m_peer ? m_peer->name.value : ""},
+       {"after_us", std::to_string((m_head_at - *m_sent_at).count())}});
+}
+
 void UpstreamAttempt::LogIfTooLarge(error_code error) {
   if (error == http::error::header_limit) {
     LogExceeded("reply-head");
@@ -488,6 +513,8 @@
   }
   const ReplyMetadata metadata =
       m_gateway.codec.read_reply(head.result_int(), head.base());
+  m_head_at = Now();
+  m_is_on_reused = m_connection->is_reused;
   m_reply.status = head.result_int();
   m_reply.fields = head.base();
   m_reply.is_signed = metadata.is_signed;
@@ -500,6 +527,7 @@
   }
   const AttemptEnd end = co_await ReadBody(*parser);
   if (end == AttemptEnd::kWhole && metadata.not_executed) {
+    LogNotExecuted();
     co_return AttemptEnd::kNotExecuted;
   }
   // A success without the upstream's signature did not come from it.
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -116,6 +116,8 @@
   void RecordSignals(const ReplyMetadata& metadata);
   void LogUnreachable(bool is_refused);
   void LogWithdrawn(SendBlock block);
+  void LogForeignReply(const ReplyMetadata& metadata, unsigned status);
+  void LogNotExecuted();
   AttemptEnd FailureEnd() const;
   // Logs which limit a reply has exceeded, if that is why reading failed.
   void LogIfTooLarge(boost::system::error_code error);
@@ -137,6 +139,8 @@
   Duration m_read_timeout{0};
   Time m_last_byte_at;
   std::optional<Time> m_sent_at;
+  Time m_head_at;               // Of the reply.
+  bool m_is_on_reused = false;  // The reply's connection.
   bool m_stopped = false;
   bool m_timed_out = false;
   bool m_saw_foreign_reply = false;  // A reply to another request came first.
