Reject replies that are joined from two, and refusals after a foreign reply

A copy of a reply that is cut off within its head takes the reply behind it as its rest, with the status of the one and the id of the other. Requests that ran were answered "not executed", and a 500 became a signed 200.

Cause: whatever parsed as a head was matched by its id, whether one reply or the rests of two had made it.

Change: MatchReply() decides in one place which reply is due. A head with a second status line in its reason or a field ends the attempt as broken. After a foreign reply the connection is out of step: an answer still counts under its id, but a refusal does not.

New cases also cover the limit of ids on a real connection.

--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -414,16 +414,18 @@
     }
     const ReplyMetadata metadata =
         m_gateway.codec.read_reply(head.result_int(), head.base());
-    if (metadata.request_id == m_request.id) {
+    const ReplyMatch match =
+        MatchReply({m_request.id, !m_connection->is_reused, foreign_replies},
+                   head.base(), metadata);
+    if (match == ReplyMatch::kDue) {
       co_return true;
     }
-    if (metadata.request_id.empty() && !m_connection->is_reused &&
-        foreign_replies == 0) {
-      co_return true;  // No other request used this connection.
-    }
     ++foreign_replies;
     m_saw_foreign_reply = true;
-    LogForeignReply(metadata, head.result_int());
+    LogUndueReply(match, metadata, head.result_int());
+    if (match == ReplyMatch::kOutOfStep) {
+      co_return false;
+    }
     if (!co_await ReadWholeBody(*parser, kMaxForeignReplyBytes)) {
       co_return false;
     }
@@ -431,12 +433,14 @@
   co_return false;
 }
 
-void UpstreamAttempt::LogForeignReply(const ReplyMetadata& metadata,
-                                      unsigned status) {
+void UpstreamAttempt::LogUndueReply(ReplyMatch match,
+                                    const ReplyMetadata& metadata,
+                                    unsigned status) {
   CountEvent(m_gateway.metrics, "foreign_replies");
   m_gateway.log.Write(
       LogLevel::kWarning, "foreign-reply",
       {{"request", m_request.id},
+       {"match", std::string(ToString(match))},
        {"upstream", m_attempt->upstream->record.id.value},
        {"reply_to", metadata.request_id},
        {"status", std::to_string(status)},
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -14,6 +14,7 @@
 #include <string>
 
 #include "gateway/gateway_context.h"
+#include "gateway/reply_match.h"
 
 namespace pomeloring {
 
@@ -116,7 +117,9 @@
   void RecordSignals(const ReplyMetadata& metadata);
   void LogUnreachable(bool is_refused);
   void LogWithdrawn(SendBlock block);
-  void LogForeignReply(const ReplyMetadata& metadata, unsigned status);
+  void LogUndueReply(ReplyMatch match,
+                     const ReplyMetadata& metadata,
+                     unsigned status);
   void LogNotExecuted();
   AttemptEnd FailureEnd() const;
   // Logs which limit a reply has exceeded, if that is why reading failed.
--- a/test/gateway/repeated_refusals_are_not_believed_test.cc
+++ b/test/gateway/repeated_refusals_are_not_believed_test.cc
@@ -4,7 +4,9 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <atomic>
+#include <functional>
 #include <list>
 #include <map>
 #include <mutex>
@@ -39,6 +41,14 @@
   return KeptReplyText(status, id, "X-Not-Executed: 1\r\n");
 }
 
+std::string RefusalWithIdLast(unsigned status, const std::string& id) {
+  return fmt::format(
+      "HTTP/1.1 {} Service not available\r\nX-Not-Executed: 1\r\n"
+      "Date: Sun, 06 Dec 2026 09:00:00 GMT\r\nContent-Length: 0\r\n"
+      "X-Request-Id: {}\r\n\r\n",
+      status, id);
+}
+
 std::string Answer(const std::string& id) {
   return KeptReplyText(200, id, "X-Response-Seal: seal-1\r\n", "done");
 }
@@ -97,12 +107,14 @@
   GatewaySite first;
 };
 
-std::string Post(const GatewaySite& site, const std::string& id) {
+std::string Post(const GatewaySite& site,
+                 const std::string& id,
+                 int deadline_ms = 1500) {
   return site.SendWithIdleTimeout(
       fmt::format("POST /stamp/1 HTTP/1.1\r\nHost: site.example\r\n"
-                  "X-Request-Id: {}\r\nX-Key: key-1\r\nX-Deadline-Ms: 1500\r\n"
+                  "X-Request-Id: {}\r\nX-Key: key-1\r\nX-Deadline-Ms: {}\r\n"
                   "Connection: close\r\nContent-Length: 4\r\n\r\nbody",
-                  id),
+                  id, deadline_ms),
       milliseconds(2500));
 }
 
@@ -201,10 +213,77 @@
   }
 }
 
+// An upstream that replies to requests with even numbers as `earlier` says, and
+// writes the first `cut` bytes of that before it replies to odd ones as `due`
+// says.
+class CuttingUpstream {
+ public:
+  using Reply = std::function<std::string(const std::string& id)>;
+  CuttingUpstream(Reply earlier, Reply due)
+      : m_upstream([this, earlier, due](const ReceivedRequest& request) {
+          const bool is_even = std::stoi(request.id) % 2 == 0;
+          KeptReply reply;
+          if (!is_even && !request.earlier_replies.empty()) {
+            reply.undue = request.earlier_replies.back().substr(0, m_cut);
+          }
+          reply.reply = is_even ? earlier(request.id) : due(request.id);
+          return reply;
+        }),
+        m_site({{"u0", "plain", m_upstream.Address()}}) {}
+
+  // Returns the reply to the second of two requests.
+  std::string PostTwo(size_t cut) {
+    m_cut = cut;
+    Post(m_site, std::to_string(m_next_id++));
+    return Post(m_site, std::to_string(m_next_id++), 100);
+  }
+
+ private:
+  std::atomic<size_t> m_cut = 0;
+  int m_next_id = 1000;
+  KeepAliveUpstream m_upstream;
+  GatewaySite m_site;
+};
+
+std::string Failure(const std::string& id) {
+  return KeptReplyText(500, id, "X-Response-Seal: seal-2\r\n", "failed");
+}
+
+// A reply that breaks off within its head and the one that is due made one
+// head, with the status of the first and the id of the second.
+TEST_CASE("A reply that is cut off has no part in the next one") {
+  const CuttingUpstream::Reply replies[] = {
+      [](const std::string& id) { return Refusal(421, id); },
+      [](const std::string& id) { return RefusalWithIdLast(503, id); },
+      [](const std::string& id) { return Answer(id); }, Failure};
+  for (const auto& earlier : replies) {
+    CuttingUpstream answering(earlier, Answer);
+    CuttingUpstream failing(earlier, Failure);
+    for (size_t cut = 1; cut < earlier("1000").size(); cut += 3) {
+      CAPTURE(earlier("1000").substr(0, cut));
+      const std::string answered = answering.PostTwo(cut);
+      const unsigned status = StatusOf(answered);
+      CHECK((status == 200 || status == 502 || status == 504));
+      CHECK((status != 200 || answered.ends_with("done")));
+      const unsigned failed = StatusOf(failing.PostTwo(cut));
+      CHECK((failed == 500 || failed == 502 || failed == 504));
+    }
+  }
+}
+
+// The connection is out of step, and what follows may be a copy as well.
+TEST_CASE("A refusal after a foreign reply is not believed") {
+  const auto refusal = [](const std::string& id) { return Refusal(503, id); };
+  CuttingUpstream upstream(refusal, refusal);
+  CHECK(StatusOf(upstream.PostTwo(std::string::npos)) == 502);
+}
+
 // Without an id, nothing tells a copy from the reply that is due.
 TEST_CASE("A request without an id is not sent after another one") {
   std::atomic<int> executions = 0;
+  std::atomic<int> requests = 0;
   KeepAliveUpstream upstream([&](const ReceivedRequest& request) {
+    ++requests;
     KeptReply reply;
     const std::string refusal =
         "HTTP/1.1 400 x\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
@@ -223,6 +302,7 @@
         "Connection: close\r\nContent-Length: 4\r\n\r\nbody",
         milliseconds(2500));
   }
+  CHECK(requests == 4);
   CHECK(executions == 0);
 }
 
@@ -241,6 +321,27 @@
   CHECK(!MayCarry(carried, ""));
 }
 
+TEST_CASE("An upstream's connection is closed with its memory of ids") {
+  std::atomic<size_t> connections = 0;
+  std::atomic<size_t> most = 0;  // On one connection.
+  KeepAliveUpstream upstream([&](const ReceivedRequest& request) {
+    connections += request.earlier_replies.empty() ? 1 : 0;
+    most = std::max<size_t>(most, request.earlier_replies.size() + 1);
+    return KeptReply{.reply = Answer(request.id)};
+  });
+  const GatewaySite site({{"u0", "plain", upstream.Address()}});
+  CarriedRequests carried;
+  while (!IsWornOut(carried)) {
+    RecordCarried(carried, "r");
+  }
+  const size_t limit = carried.id_hashes.size();
+  for (size_t i = 0; i < limit + 10; ++i) {
+    Post(site, std::to_string(i));
+  }
+  CHECK(connections >= 2);
+  CHECK(most <= limit);
+}
+
 // --- Any order of refusals, copies, delays, closes, peers and repeats
 // ---------
 
@@ -260,13 +361,15 @@
   for (int copies = 0; copies < 2 && chance(50); ++copies) {
     reply.undue += copy();
   }
-  if (chance(5)) {
-    reply.undue.resize(reply.undue.size() / 2);  // Ends anywhere.
+  if (chance(30)) {
+    reply.undue.resize(NextRandom(random) % (reply.undue.size() + 1));
   }
   reply.delay = milliseconds(NextRandom(random) % 20);
   if (chance(50)) {
     const unsigned statuses[] = {503, 429, 421};
-    reply.reply = Refusal(statuses[NextRandom(random) % 3], request.id);
+    const unsigned status = statuses[NextRandom(random) % 3];
+    reply.reply = chance(50) ? Refusal(status, request.id)
+                             : RefusalWithIdLast(status, request.id);
   } else {
     ++record.executions[request.id];
     reply.closes = chance(10);
