--- a/test/support/process.h
+++ b/test/support/process.h
@@ -31,6 +31,8 @@
   int Wait();
   // As Wait(), but returns nullopt at once if the process is still running.
   std::optional<int> TryWait();
+  // -1 once it has ended and was waited for.
+  pid_t Pid() const { return m_pid; }
 
  private:
   pid_t m_pid = -1;
