Memory: admit bodies as they grow, and end the uploads that hold most

With memory_mb, callers saw a process over its limit, and ordinary requests refused with 503 while uploads that went nowhere kept all room.

Cause: a body in chunks was admitted once, when it passed 16 KB, and then grew without another look at the budget; and when room was short, whoever came next was refused.

A body now reserves its bytes in steps before it grows, and its string takes no more than that. Large bodies together take half of the limit, since each is held twice while it is sent on; one alone is always admitted. While one does not fit, an unfinished upload is refused for it: one that has made no progress for 1 s first, then of the client address that holds most, then the largest. A refused body is discarded up to 5 MB, and a 413 also stays readable.

--- a/src/gateway/client_connection.cc
+++ b/src/gateway/client_connection.cc
@@ -1,5 +1,6 @@
 #include "gateway/client_connection.h"
 
+#include <bit>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -26,6 +27,8 @@
 // After the refusal of a request whose body is still arriving: closing at once
 // would reset the connection before the client has read the reply.
 constexpr std::chrono::seconds kRefusalLinger{2};
+// Of a refused body: a client within the default limits reads its reply.
+constexpr size_t kMaxDiscardedBytes = size_t{5} * 1024 * 1024;
 constexpr std::string_view kContinueReply = "HTTP/1.1 100 Continue\r\n\r\n";
 
 auto Await(error_code& error) {
@@ -72,6 +75,12 @@
              : 400;
 }
 
+// Resets the flag of an upload at its end.
+struct UploadEnd {
+  bool& is_uploading;
+  ~UploadEnd() { is_uploading = false; }
+};
+
 // Frees the buffer if it is empty: with thousands of connections that are idle
 // or wait for a reply, their buffers alone would fill the budget.
 void FreeIfEmpty(boost::beast::flat_buffer& buffer, MemoryHold& hold) {
@@ -118,6 +127,9 @@
                         asio::buffer(self->m_chunk, size));
       self->m_buffer.commit(size);
       self->m_read_hold.Set(self->m_buffer.capacity());
+      if (self->m_is_uploading) {
+        self->m_last_arrived_at = Now();
+      }
       self->ReadMore();
     }
     self->m_data_arrived.cancel();
@@ -128,7 +140,7 @@
     steady_clock::time_point deadline) {
   ReadMore();
   const size_t before = m_buffer.size();
-  while (!m_is_disconnected && m_buffer.size() == before) {
+  while (!m_is_disconnected && !m_upload_ended && m_buffer.size() == before) {
     if (steady_clock::now() >= deadline) {
       co_return false;
     }
@@ -139,8 +151,39 @@
   co_return m_buffer.size() != before;
 }
 
+// Bodies in chunks are reserved in the steps in which they grow, before they
+// do: their sum is known only at their end.
+bool ClientConnection::AdmitBody(Parser& parser,
+                                 uint64_t max_bytes,
+                                 const std::function<bool()>& make_room) {
+  std::string& body = parser.get().body();
+  uint64_t needed = body.size();
+  if (parser.content_length()) {
+    needed = std::max(needed, *parser.content_length());
+  } else if (!parser.is_done()) {
+    needed += m_buffer.size();
+    needed = std::max(needed, std::min(std::bit_ceil(needed), max_bytes));
+  }
+  if (m_is_uploading && needed <= m_request_hold.Bytes()) {
+    return true;
+  }
+  if (!std::exchange(m_is_uploading, true)) {
+    m_last_arrived_at = Now();
+  }
+  m_wanted_bytes = needed;
+  while (!AdmitsBody(m_memory, m_request_hold.Bytes(), m_wanted_bytes)) {
+    if (!make_room()) {
+      return false;
+    }
+  }
+  m_request_hold.Set(m_wanted_bytes);
+  body.reserve(m_wanted_bytes);
+  return true;
+}
+
 asio::awaitable<ReadClientResult> ClientConnection::ReadRequest(
-    ClientLimits limits) {
+    ClientLimits limits,
+    std::function<bool()> make_room) {
   const auto self = shared_from_this();
   m_idle = m_buffer.size() == 0;
   m_request_hold.Set(0);
@@ -152,39 +195,35 @@
     co_return ConnectionEnded{};
   }
   m_idle = false;
-  http::request_parser<http::string_body> parser;
+  Parser parser;
   parser.header_limit(limits.header_bytes);
   parser.body_limit(limits.body_bytes);
   parser.eager(true);
   auto deadline = steady_clock::now() + limits.header_timeout;
   bool has_header = false;
-  uint64_t admitted_bytes = 0;  // Of the body.
+  const UploadEnd upload_end{m_is_uploading};
+  m_wanted_bytes = 0;
+  const auto refusal = [&] {
+    m_request_hold.Set(0);
+    return RefusedClientRequest{parser.get().base(), m_wanted_bytes,
+                                LevelOf(m_memory),
+                                parser.is_done() && parser.get().keep_alive() &&
+                                    FindAmbiguity(parser.get()).empty()};
+  };
   while (!parser.is_done()) {
+    if (std::exchange(m_upload_ended, false)) {
+      co_return refusal();
+    }
     error_code error;
     const size_t used = parser.put(m_buffer.data(), error);
     m_buffer.consume(used);
     if (error && error != http::error::need_more) {
       co_return BadClientRequest{StatusOf(error), error.message()};
     }
-    const uint64_t body_bytes =
-        parser.is_header_done()
-            ? std::max<uint64_t>(parser.content_length().value_or(0),
-                                 parser.get().body().size())
-            : 0;
-    // The length of a body in chunks is known only while it arrives.
-    const bool is_larger = has_header && admitted_bytes <= kLargeBodyBytes &&
-                           body_bytes > kLargeBodyBytes;
-    const MemoryLevel level = LevelOf(m_memory);
-    if (parser.is_header_done() && (!has_header || is_larger) &&
-        !AdmitsRequest(level, body_bytes)) {
-      m_request_hold.Set(0);
-      co_return RefusedClientRequest{parser.get().base(), body_bytes, level,
-                                     parser.is_done() &&
-                                         parser.get().keep_alive() &&
-                                         FindAmbiguity(parser.get()).empty()};
+    if (parser.is_header_done() &&
+        !AdmitBody(parser, limits.body_bytes, make_room)) {
+      co_return refusal();
     }
-    admitted_bytes = std::max(admitted_bytes, body_bytes);
-    m_request_hold.Set(admitted_bytes);
     if (!has_header && parser.is_header_done()) {
       has_header = true;
       deadline = steady_clock::now() + kBodyTimeout;
@@ -200,13 +239,18 @@
     if (used > 0 && m_buffer.size() > 0) {
       continue;
     }
-    if (!co_await WaitForBytes(deadline)) {
+    if (!co_await WaitForBytes(deadline) && !m_upload_ended) {
       if (m_is_disconnected) {
         co_return ConnectionEnded{};
       }
       co_return BadClientRequest{408, "the request took too long to arrive"};
     }
+    if (has_header && !m_upload_ended &&
+        !AdmitBody(parser, limits.body_bytes, make_room)) {
+      co_return refusal();
+    }
   }
+  m_is_uploading = false;
   if (m_memory.limit > 0) {
     FreeIfEmpty(m_buffer, m_read_hold);
   }
@@ -219,6 +263,26 @@
   co_return request;
 }
 
+std::optional<UnfinishedUpload> ClientConnection::Upload(Time now) const {
+  if (!m_is_uploading || m_upload_ended) {
+    return std::nullopt;
+  }
+  return UnfinishedUpload{
+      std::max<uint64_t>(m_wanted_bytes, m_request_hold.Bytes()), 0,
+      now - m_last_arrived_at};
+}
+
+asio::ip::address ClientConnection::ClientAddress() const {
+  error_code ignored;
+  return m_socket.remote_endpoint(ignored).address();
+}
+
+void ClientConnection::EndUpload() {
+  m_upload_ended = true;
+  m_request_hold.Set(0);
+  m_data_arrived.cancel();
+}
+
 asio::awaitable<bool> ClientConnection::Write(std::string bytes) {
   const auto self = shared_from_this();
   if (m_is_disconnected) {
@@ -329,9 +393,12 @@
   const auto deadline = steady_clock::now() + kRefusalLinger;
   error_code ignored;
   m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  size_t discarded = 0;
   do {
+    discarded += m_buffer.size();
     m_buffer.consume(m_buffer.size());
-  } while (co_await WaitForBytes(deadline));
+    FreeIfEmpty(m_buffer, m_read_hold);
+  } while (discarded <= kMaxDiscardedBytes && co_await WaitForBytes(deadline));
   Close();
 }
 
--- a/src/gateway/client_connection.h
+++ b/src/gateway/client_connection.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
@@ -57,8 +58,11 @@
   void Start();
   // Waits for the next request, and rejects one that exceeds `limits` or that
   // HTTP parsers may interpret differently. The request's body stays reserved
-  // until the next call.
-  boost::asio::awaitable<ReadClientResult> ReadRequest(ClientLimits limits);
+  // until the next call. `make_room` is called while the body does not fit
+  // beside others; it returns false if this request is to be refused.
+  boost::asio::awaitable<ReadClientResult> ReadRequest(
+      ClientLimits limits,
+      std::function<bool()> make_room);
   // Writes all of `bytes`. Returns false if the client has disconnected.
   boost::asio::awaitable<bool> Write(std::string bytes);
   // Writes `bytes`, and returns once the next ones may be read from their
@@ -77,6 +81,12 @@
   // Returns what the client has not taken; nothing if there are no such bytes.
   std::optional<UntakenBytes> Untaken(Time now) const;
 
+  // Returns the request whose body is arriving; nothing if there is none.
+  std::optional<UnfinishedUpload> Upload(Time now) const;
+  // Refuses the request whose body is arriving. Its bytes are released.
+  void EndUpload();
+  boost::asio::ip::address ClientAddress() const;
+
   // Calls `on_disconnect` once when the client disconnects, or now if it has
   // done so already. Null removes the handler.
   void SetDisconnectHandler(std::function<void()> on_disconnect);
@@ -84,7 +94,15 @@
   bool IsIdle() const { return m_idle; }
 
  private:
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
   void ReadMore();
+  // Reserves the bytes that the body takes once `m_buffer` is parsed. Returns
+  // false if the request is to be refused.
+  bool AdmitBody(Parser& parser,
+                 uint64_t max_bytes,
+                 const std::function<bool()>& make_room);
   // Adds `bytes` to those to be written. With a memory limit only.
   void Enqueue(std::string bytes);
   void WriteMore();
@@ -105,6 +123,8 @@
   size_t m_written = 0;
   std::string m_to_write;  // After `m_writing`.
   Time m_last_taken_at;
+  Time m_last_arrived_at;
+  uint64_t m_wanted_bytes = 0;  // Of the body that is arriving.
   boost::beast::flat_buffer m_buffer;
   std::array<char, 8192> m_chunk;
   std::function<void()> m_on_disconnect;
@@ -112,6 +132,8 @@
   bool m_write_pending = false;
   bool m_write_failed = false;
   bool m_is_disconnected = false;
+  bool m_is_uploading = false;
+  bool m_upload_ended = false;  // By EndUpload().
   bool m_idle = true;
 };
 
--- a/src/gateway/memory_monitor.cc
+++ b/src/gateway/memory_monitor.cc
@@ -2,9 +2,11 @@
 
 #include <fmt/format.h>
 
+#include <map>
 #include <vector>
 
 #include "gateway/client_connection.h"
+#include "link/clock.h"
 
 namespace pomeloring {
 namespace {
@@ -14,6 +16,30 @@
 
 }  // namespace
 
+bool EndUploadFor(GatewayContext& gateway, const ClientConnection& asker) {
+  const Time now = Now();
+  std::vector<ClientConnection*> callers;
+  std::vector<UnfinishedUpload> uploads;
+  std::map<boost::asio::ip::address, uint64_t> held_by;
+  for (ClientConnection* caller : gateway.callers) {
+    if (const auto upload = caller->Upload(now)) {
+      callers.push_back(caller);
+      uploads.push_back(*upload);
+      held_by[caller->ClientAddress()] += upload->held;
+    }
+  }
+  for (size_t i = 0; i < uploads.size(); ++i) {
+    uploads[i].held_by_address = held_by[callers[i]->ClientAddress()];
+  }
+  const auto first = ChooseUploadToEnd(uploads);
+  if (!first || callers[*first] == &asker) {
+    return false;
+  }
+  CountEvent(gateway.metrics, "uploads_ended");
+  callers[*first]->EndUpload();
+  return true;
+}
+
 MemoryMonitor::MemoryMonitor(GatewayContext& gateway)
     : m_gateway(gateway),
       m_config_hold(gateway.memory, MemoryKind::kConfiguration),
--- a/src/gateway/memory_monitor.h
+++ b/src/gateway/memory_monitor.h
@@ -8,6 +8,10 @@
 
 namespace pomeloring {
 
+// Refuses an unfinished request to make room for that of `asker`. Returns false
+// if `asker` itself is to be refused.
+bool EndUploadFor(GatewayContext& gateway, const ClientConnection& asker);
+
 // Does nothing without a memory limit. Used from one thread.
 class MemoryMonitor {
  public:
--- a/src/gateway/serve_connection.cc
+++ b/src/gateway/serve_connection.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "gateway/exchange.h"
+#include "gateway/memory_monitor.h"
 #include "routing/routing_config.h"
 
 namespace pomeloring {
@@ -42,7 +43,8 @@
   while (true) {
     const auto config = gateway.router.Config();
     const ClientLimits limits = config ? config->limits : ClientLimits();
-    auto read = co_await client->ReadRequest(limits);
+    auto read = co_await client->ReadRequest(
+        limits, [&] { return EndUploadFor(gateway, *client); });
     if (std::holds_alternative<ConnectionEnded>(read)) {
       client->Close();
       co_return;
@@ -56,7 +58,11 @@
       const ReplyContext context{"", "", false};
       std::string bytes = WriteLocalReply(reply, context);
       co_await client->Write(std::move(bytes));
-      client->Close();
+      if (bad->status == 413) {
+        co_await client->CloseAfterRefusal();
+      } else {
+        client->Close();
+      }
       co_return;
     }
     if (auto* refused = std::get_if<RefusedClientRequest>(&read)) {
--- a/src/memory/memory_budget.cc
+++ b/src/memory/memory_budget.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <tuple>
 #include <utility>
 
 namespace pomeloring {
@@ -18,6 +19,13 @@
 constexpr double kBackpressureFraction = 0.7;
 constexpr double kRefuseLargeFraction = 0.85;
 
+// Of large bodies, of the limit: each is held twice while it is sent on.
+constexpr double kBodyFraction = 0.5;
+// Of the limit: with less than this in other requests, a body is alone.
+constexpr double kAloneFraction = 0.125;
+// An upload without a byte for longer makes no progress.
+constexpr Duration kUploadStalled = seconds(1);
+
 constexpr Duration kRetryAfterLarge = milliseconds(500);
 // Callers that take nothing are dropped after 5 s, most others end earlier.
 constexpr Duration kRetryAfterAll = seconds(1);
@@ -140,6 +148,37 @@
          (level == MemoryLevel::kRefuseLarge && body_bytes <= kLargeBodyBytes);
 }
 
+bool AdmitsBody(const MemoryBudget& budget, uint64_t held, uint64_t bytes) {
+  // Without its own reservation, which would refuse it for its own size.
+  MemoryBudget others = budget;
+  uint64_t& requests = others.held[static_cast<size_t>(MemoryKind::kRequests)];
+  requests -= std::min(requests, held);
+  if (budget.limit == 0 || bytes <= kLargeBodyBytes) {
+    return AdmitsRequest(LevelOf(others), bytes);
+  }
+  const auto limit = static_cast<double>(budget.limit);
+  return AdmitsRequest(LevelOf(others), bytes) &&
+         (static_cast<double>(requests + bytes) <= kBodyFraction * limit ||
+          static_cast<double>(requests) <= kAloneFraction * limit);
+}
+
+std::optional<size_t> ChooseUploadToEnd(
+    std::span<const UnfinishedUpload> uploads) {
+  const auto rank = [&](size_t i) {
+    const UnfinishedUpload& upload = uploads[i];
+    return std::tuple(upload.idle_for >= kUploadStalled, upload.held_by_address,
+                      upload.held);
+  };
+  std::optional<size_t> first;
+  for (size_t i = 0; i < uploads.size(); ++i) {
+    if (uploads[i].held > kLargeBodyBytes &&
+        (!first || rank(i) > rank(*first))) {
+      first = i;
+    }
+  }
+  return first;
+}
+
 Duration RetryAfterRefusal(MemoryLevel level, uint64_t random) {
   const Duration least =
       level == MemoryLevel::kRefuseAll ? kRetryAfterAll : kRetryAfterLarge;
--- a/src/memory/memory_budget.h
+++ b/src/memory/memory_budget.h
@@ -77,6 +77,23 @@
 // Returns whether a new request may be read whose body has at least
 // `body_bytes`.
 bool AdmitsRequest(MemoryLevel level, uint64_t body_bytes);
+// Returns whether a body of which `held` bytes are reserved may have `bytes`.
+// Large bodies share a part of the limit; one alone is always admitted.
+bool AdmitsBody(const MemoryBudget& budget, uint64_t held, uint64_t bytes);
+
+// A request whose body is still arriving.
+struct UnfinishedUpload {
+  uint64_t held = 0;             // In bytes.
+  uint64_t held_by_address = 0;  // By all such requests of its client address.
+  Duration idle_for{0};          // Since the last byte arrived.
+};
+
+// Returns which one to end when another body needs room: one that makes no
+// progress before one that does, then the one whose address holds most, then
+// the one that holds most itself. None that is not large.
+std::optional<size_t> ChooseUploadToEnd(
+    std::span<const UnfinishedUpload> uploads);
+
 // Returns when a refused caller should retry. `random` spreads the returns of
 // callers that are refused together.
 Duration RetryAfterRefusal(MemoryLevel level, uint64_t random);
