Memory: the machine's memory limits the buffers without the setting

A process deployed without memory_mb had no bound on what it buffers: 40 clients took it over the memory of its machine, and it would have been killed.

Cause: memory_mb meant three things, the limit of the buffers, streams that are read ahead of their callers, and placement by the memory of engines. The deployed settings leave it out for the last two, and lost the first.

Without the setting the limit follows from what sysinfo() tells, 256 MB if it tells nothing, and the line 'started' names it and where it is from. Streams are paced and requests placed by memory only with the setting, as before; writes to clients note their progress, so that those that take nothing can be dropped. A read buffer over 16 KB is freed once empty. Complete replies stay within a quarter of the limit, at most 32 MB as before.

--- a/src/gateway/client_connection.cc
+++ b/src/gateway/client_connection.cc
@@ -20,6 +20,8 @@
 // Limit of what is read behind a request in progress. Reading continues until
 // then, since only a read detects a disconnect.
 constexpr size_t kMaxReadAheadBytes = size_t{64} * 1024;
+// Of an empty read buffer that is kept for the next request.
+constexpr size_t kKeptBufferBytes = size_t{16} * 1024;
 // For the rest of a request after its header.
 constexpr std::chrono::seconds kBodyTimeout{10};
 // Streams that wait for their caller check the memory level this often.
@@ -29,6 +31,8 @@
 constexpr std::chrono::seconds kRefusalLinger{2};
 // Of a refused body: a client within the default limits reads its reply.
 constexpr size_t kMaxDiscardedBytes = size_t{5} * 1024 * 1024;
+// Of one call to the kernel.
+constexpr size_t kMaxWriteBytes = size_t{64} * 1024;
 constexpr std::string_view kContinueReply = "HTTP/1.1 100 Continue\r\n\r\n";
 
 auto Await(error_code& error) {
@@ -83,8 +87,11 @@
 
 // Frees the buffer if it is empty: with thousands of connections that are idle
 // or wait for a reply, their buffers alone would fill the budget.
-void FreeIfEmpty(boost::beast::flat_buffer& buffer, MemoryHold& hold) {
-  if (buffer.size() == 0) {
+void FreeIfEmpty(boost::beast::flat_buffer& buffer,
+                 MemoryHold& hold,
+                 bool frees_small) {
+  if (buffer.size() == 0 &&
+      (frees_small || buffer.capacity() > kKeptBufferBytes)) {
     buffer.shrink_to_fit();
   }
   hold.Set(buffer.capacity());
@@ -187,9 +194,7 @@
   const auto self = shared_from_this();
   m_idle = m_buffer.size() == 0;
   m_request_hold.Set(0);
-  if (m_memory.limit > 0) {
-    FreeIfEmpty(m_buffer, m_read_hold);
-  }
+  FreeIfEmpty(m_buffer, m_read_hold, m_memory.paces_streams);
   if (m_idle &&
       !co_await WaitForBytes(steady_clock::now() + limits.idle_timeout)) {
     co_return ConnectionEnded{};
@@ -251,9 +256,7 @@
     }
   }
   m_is_uploading = false;
-  if (m_memory.limit > 0) {
-    FreeIfEmpty(m_buffer, m_read_hold);
-  }
+  FreeIfEmpty(m_buffer, m_read_hold, m_memory.paces_streams);
   ReadMore();
   ClientRequest request = parser.release();
   const std::string ambiguity = FindAmbiguity(request);
@@ -288,20 +291,26 @@
   if (m_is_disconnected) {
     co_return false;
   }
-  if (m_memory.limit > 0) {
+  if (m_memory.paces_streams) {
     Enqueue(std::move(bytes));
     co_await Flush();
     co_return !IsBroken();
   }
   error_code error;
   m_write_hold.Set(bytes.size());
-  co_await asio::async_write(m_socket, asio::buffer(bytes), Await(error));
+  m_last_taken_at = Now();
+  const auto record_progress = [this](error_code failed, size_t) {
+    m_last_taken_at = Now();
+    return failed ? 0 : kMaxWriteBytes;
+  };
+  co_await asio::async_write(m_socket, asio::buffer(bytes), record_progress,
+                             Await(error));
   m_write_hold.Set(0);
   co_return !error;
 }
 
 asio::awaitable<bool> ClientConnection::WriteAhead(std::string bytes) {
-  if (m_memory.limit == 0) {
+  if (!m_memory.paces_streams) {
     co_return co_await Write(std::move(bytes));
   }
   const auto self = shared_from_this();
@@ -373,7 +382,7 @@
 }
 
 std::optional<UntakenBytes> ClientConnection::Untaken(Time now) const {
-  if (UntakenCount() == 0) {
+  if (m_write_hold.Bytes() == 0) {
     return std::nullopt;
   }
   return UntakenBytes{m_write_hold.Bytes() + m_request_hold.Bytes(),
@@ -397,7 +406,7 @@
   do {
     discarded += m_buffer.size();
     m_buffer.consume(m_buffer.size());
-    FreeIfEmpty(m_buffer, m_read_hold);
+    FreeIfEmpty(m_buffer, m_read_hold, true);
   } while (discarded <= kMaxDiscardedBytes && co_await WaitForBytes(deadline));
   Close();
 }
--- a/src/gateway/client_connection.h
+++ b/src/gateway/client_connection.h
@@ -66,7 +66,7 @@
   // Writes all of `bytes`. Returns false if the client has disconnected.
   boost::asio::awaitable<bool> Write(std::string bytes);
   // Writes `bytes`, and returns once the next ones may be read from their
-  // upstream; without a memory limit, once all are written. Returns false if
+  // upstream; if streams are not paced, once all are written. Returns false if
   // the client has disconnected.
   boost::asio::awaitable<bool> WriteAhead(std::string bytes);
   // Waits until all bytes are written, or the client has disconnected.
@@ -103,7 +103,7 @@
   bool AdmitBody(Parser& parser,
                  uint64_t max_bytes,
                  const std::function<bool()>& make_room);
-  // Adds `bytes` to those to be written. With a memory limit only.
+  // Adds `bytes` to those to be written. With paced streams only.
   void Enqueue(std::string bytes);
   void WriteMore();
   size_t UntakenCount() const;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -36,6 +36,7 @@
 #include "gateway/version_inquiry.h"
 #include "link/address.h"
 #include "link/clock.h"
+#include "link/machine_memory.h"
 #include "link/problem.h"
 #include "link/sleep.h"
 #include "routing/store_readers.h"
@@ -66,11 +67,14 @@
 // With fewer in the caller's failure domain, callers get all instances.
 constexpr size_t kMinAddresses = 2;
 constexpr size_t kMaxAddresses = 64;
-// With a memory limit: the kernel would buffer megabytes for each slow caller,
+// With paced streams: the kernel would buffer megabytes for each slow caller,
 // which count as this process's memory too. Linux reserves twice as much: 6 MB
 // for 200 callers, and enough for 100 Mbit/s to a caller 1 ms away.
 constexpr int kCallerSendBufferBytes = 16 * 1024;
 
+// Of a machine whose kernel does not tell its memory.
+constexpr uint64_t kUnknownMemoryMb = 256;
+
 uint64_t RandomBits() {
   std::random_device random;
   return (uint64_t{random()} << 32) | random();
@@ -89,6 +93,16 @@
   return self;
 }
 
+// Without the setting, the machine's memory limits the buffers, and streams go
+// at their caller's pace.
+MemoryBudget MakeMemoryBudget(const GatewaySettings& settings) {
+  const uint64_t memory_mb = settings.memory_mb > 0
+                                 ? settings.memory_mb
+                                 : MachineMemoryMb().value_or(kUnknownMemoryMb);
+  return {.limit = BufferLimit(memory_mb),
+          .paces_streams = settings.memory_mb > 0};
+}
+
 RouterSettings MakeRouterSettings(const GatewaySettings& settings,
                                   const Member& self) {
   RouterSettings router;
@@ -167,7 +181,7 @@
         m_platform_api(std::move(platform_api)),
         m_handlers(std::move(handlers)),
         m_log(m_settings.name, ParseLogLevel(m_settings.log_level)),
-        m_memory{BufferLimit(m_settings.memory_mb)},
+        m_memory(MakeMemoryBudget(m_settings)),
         m_self(MakeSelfMember(m_settings)),
         m_threads(1),
         m_context(m_threads.First()),
@@ -285,10 +299,13 @@
       Spawn(m_origin_log->ReadAfterStart());
     }
     WaitForSignal();
-    m_log.Write(LogLevel::kInfo, "started",
-                {{"caller_address", m_settings.caller_address},
-                 {"incarnation", std::to_string(m_self.incarnation.value)},
-                 {"seeds", std::to_string(m_settings.seeds.size())}});
+    m_log.Write(
+        LogLevel::kInfo, "started",
+        {{"caller_address", m_settings.caller_address},
+         {"incarnation", std::to_string(m_self.incarnation.value)},
+         {"memory_from", m_settings.memory_mb > 0 ? "settings" : "machine"},
+         {"buffer_limit_bytes", std::to_string(m_memory.limit)},
+         {"seeds", std::to_string(m_settings.seeds.size())}});
     std::future<GatewayExit> end = m_exit.get_future();
     m_threads.Start();
     const GatewayExit result = end.get();
@@ -502,7 +519,7 @@
         continue;
       }
       socket.set_option(tcp::no_delay(true), error);
-      if (m_memory.limit > 0) {
+      if (m_memory.paces_streams) {
         socket.set_option(
             asio::socket_base::send_buffer_size(kCallerSendBufferBytes), error);
       }
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -78,7 +78,8 @@
      "it, instances agree on how many requests leave their failure domain"},
     {"memory_mb", "0 to 1000000 MB", "0",
      "the limit of this process's memory, within which its buffers stay; 0: "
-     "not known"},
+     "the machine's memory limits them, and neither streams nor placement go "
+     "by memory"},
     {"keep_addresses_s", "1 to 3600 s", "1",
      "how long callers may keep the address answer"},
     {"longest_drain_s", "1 to 3600 s", "8",
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -632,7 +632,7 @@
     if (!body.empty()) {
       RecordByte();
       ReserveReply(parser);
-      m_awaits_caller = m_gateway.memory.limit > 0;
+      m_awaits_caller = m_gateway.memory.paces_streams;
       const bool forwarded = co_await sink.forward(body);
       if (std::exchange(m_awaits_caller, false)) {
         m_last_byte_at = Now();
--- a/src/memory/memory_budget.cc
+++ b/src/memory/memory_budget.cc
@@ -44,9 +44,10 @@
 
 // Replies that are smaller are never cut.
 constexpr size_t kLargeReplyBytes = size_t{256} * 1024;
-// Of all replies, without a limit: a fifth of the smallest process's memory.
+// Of all replies that are read whole: a quarter of the limit, and where streams
+// are not paced at most a fifth of the smallest process's memory.
 constexpr uint64_t kMaxReplyBytes = 32 * kMegabyte;
-constexpr uint64_t kReplyFraction = 4;  // A quarter of the limit, with one.
+constexpr uint64_t kReplyFraction = 4;
 
 }  // namespace
 
@@ -190,8 +191,11 @@
 // Faulty upstreams may send without end on all connections at once. Each reply
 // has a bound of its own, but their sum does not.
 bool MayReplyGrow(const MemoryBudget& budget, size_t bytes) {
-  const uint64_t max_held =
+  uint64_t max_held =
       budget.limit > 0 ? budget.limit / kReplyFraction : kMaxReplyBytes;
+  if (!budget.paces_streams) {
+    max_held = std::min(max_held, kMaxReplyBytes);
+  }
   const auto kind = static_cast<size_t>(MemoryKind::kReplies);
   return bytes < kLargeReplyBytes || budget.held[kind] <= max_held;
 }
--- a/src/memory/memory_budget.h
+++ b/src/memory/memory_budget.h
@@ -33,6 +33,8 @@
 struct MemoryBudget {
   uint64_t limit = 0;  // In bytes; 0: buffers are counted, but not limited.
   std::array<uint64_t, kMemoryKinds> held{};  // In bytes, by kind.
+  // Whether streams are read ahead of their callers, within the levels below.
+  bool paces_streams = false;
 };
 
 // Returns the limit for the buffers of a process that may use `memory_mb`
--- a/test/support/gateway_site.h
+++ b/test/support/gateway_site.h
@@ -68,7 +68,7 @@
   std::vector<std::string> seeds;
   bool counts_usage = false;  // For the duty "usage".
   LoadFeatures features;
-  uint64_t memory_mb = 0;  // 0: buffers are not limited.
+  uint64_t memory_mb = 0;  // 0: that of the machine.
   // Called by the gateway's only thread when it has read a request.
   std::function<void()> on_request = [] {};
   std::shared_ptr<MemoryLog> log;  // Null: the gateway has no shared log.
