One exit of an exchange: no reply's head within a stream

Callers saw: a resumable stream broke off and waited for an upstream that had asked for a pause; when its time was over, the gateway's own 504, head and body, came behind the stream's events, on a connection that stayed open.

Cause: each exit of an exchange asked for itself whether a stream had begun. WaitForCapacity() did not, and replied.

Change: RunAttempts() and WaitForCapacity() return how the request ended; Exchange::Finish() alone ends the stream or replies, for refusals at admission too. ReplyTo() only makes replies.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -155,26 +155,24 @@
 asio::awaitable<bool> Exchange::Serve() {
   const auto self = shared_from_this();
   co_await AwaitReadiness();
-  if (auto refusal = Admit()) {
-    co_await SendLocalReply(std::move(*refusal));
-    LogResult();
-    co_return ShouldKeepAlive();
-  }
-  if (IsResumption()) {
-    if (auto refusal = co_await FindOriginOfResumed()) {
-      co_await SendLocalReply(std::move(*refusal));
-      LogResult();
-      co_return ShouldKeepAlive();
-    }
+  std::optional<LocalReply> refusal = Admit();
+  if (!refusal && IsResumption()) {
+    refusal = co_await FindOriginOfResumed();
+  }
+  RequestEnd end;
+  if (refusal) {
+    end = std::move(*refusal);
+  } else {
+    m_gateway.admitted_exchanges.insert(this);
+    m_gateway.router.CountRequest(m_service, m_received_at);
+    ArmDeadline();
+    m_client->SetDisconnectHandler([self] {
+      self->m_client_disconnected = true;
+      self->StopAttempt();
+    });
+    end = co_await RunAttempts();
   }
-  m_gateway.admitted_exchanges.insert(this);
-  m_gateway.router.CountRequest(m_service, m_received_at);
-  ArmDeadline();
-  m_client->SetDisconnectHandler([self] {
-    self->m_client_disconnected = true;
-    self->StopAttempt();
-  });
-  co_await RunAttempts();
+  co_await Finish(std::move(end));
   m_client->SetDisconnectHandler(nullptr);
   m_deadline.cancel();
   m_gateway.admitted_exchanges.erase(this);
@@ -182,7 +180,7 @@
   co_return ShouldKeepAlive();
 }
 
-asio::awaitable<void> Exchange::RunAttempts() {
+asio::awaitable<Exchange::RequestEnd> Exchange::RunAttempts() {
   while (true) {
     const Time now = Now();
     const AttemptRequest attempt_request{m_route,
@@ -203,34 +201,22 @@
       if (deferred->share && deferred->share->is_new) {
         LogShare("share-wait", *deferred->share);
       }
-      if (!co_await WaitForCapacity()) {
-        co_return;
+      if (auto ended = co_await WaitForCapacity()) {
+        co_return *ended;
       }
       continue;
     }
     if (auto* unplaced = std::get_if<Unplaced>(&result)) {
-      co_await ReplyUnplaced(*unplaced);
-      co_return;
+      co_return *unplaced;
     }
     const auto attempt =
         std::get<std::shared_ptr<PlacedAttempt>>(std::move(result));
     const AttemptEnd end = co_await RunAttempt(attempt);
     if (m_client_disconnected) {
-      m_keep_alive = false;
-      m_result = {"client-gone", std::string(ToString(end))};
-      co_return;
+      co_return ClientGone{std::string(ToString(end))};
     }
-    if (end == AttemptEnd::kWhole && m_stream_started) {
-      co_await FinishStream(end);
-      co_return;
-    }
-    if (!ShouldRetry(end)) {
-      if (m_stream_started) {
-        co_await FinishStream(end);
-      } else {
-        co_await ReplyAfterAttempt(end);
-      }
-      co_return;
+    if ((end == AttemptEnd::kWhole && m_stream_started) || !ShouldRetry(end)) {
+      co_return end;
     }
     CountEvent(m_gateway.metrics, "retries");
     m_gateway.log.Write(LogLevel::kInfo, "retry",
@@ -241,25 +227,21 @@
   }
 }
 
-// Waits until the load may have changed. Returns false if the request has ended
-// meanwhile.
-asio::awaitable<bool> Exchange::WaitForCapacity() {
+// Waits until the load may have changed.
+asio::awaitable<std::optional<Exchange::RequestEnd>>
+Exchange::WaitForCapacity() {
   CountEvent(m_gateway.metrics, "deferrals");
   m_gateway.router.BeginWait(m_service);
   co_await SleepFor(kPlacementPollInterval);
   m_gateway.router.EndWait(m_service);
   if (m_client_disconnected) {
-    m_keep_alive = false;
-    m_result.outcome = "client-gone";
-    m_result.reason = "waiting";
-    co_return false;
+    co_return ClientGone{"waiting"};
   }
   if (m_timed_out) {
     m_gateway.router.RecordRefusal(m_service, Now());
-    co_await ReplyAfterAttempt(AttemptEnd::kStopped);
-    co_return false;
+    co_return AttemptEnd::kStopped;
   }
-  co_return true;
+  co_return std::nullopt;
 }
 
 bool Exchange::ShouldRetry(AttemptEnd end) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "gateway/client_connection.h"
@@ -36,6 +37,12 @@
   void StopIfQuarantined();
 
  private:
+  // The client has disconnected; `reason` tells during what.
+  struct ClientGone {
+    std::string reason;
+  };
+  // Why no attempt follows.
+  using RequestEnd = std::variant<ClientGone, LocalReply, Unplaced, AttemptEnd>;
   // How the request ended, for the log and the metrics.
   struct RequestResult {
     std::string outcome;
@@ -55,21 +62,23 @@
   void CountUsage(Time began);
   // Counts a request without a stream if its attempt has run, most probably.
   void CountUsageOfAttempt(AttemptEnd end, std::optional<Time> sent_at);
-  boost::asio::awaitable<void> RunAttempts();
+  boost::asio::awaitable<RequestEnd> RunAttempts();
   boost::asio::awaitable<AttemptEnd> RunAttempt(
       std::shared_ptr<PlacedAttempt> attempt);
   // Finds out whether the upstream of a broken attempt has exited.
   boost::asio::awaitable<void> CheckForExit(const PlacedAttempt& attempt);
-  boost::asio::awaitable<bool> WaitForCapacity();
+  // Returns how the request has ended meanwhile, if it has.
+  boost::asio::awaitable<std::optional<RequestEnd>> WaitForCapacity();
   std::string SerializeForUpstream(const PlacedAttempt& attempt) const;
   UpstreamAttempt::Request MakeUpstreamRequest(
       const std::shared_ptr<PlacedAttempt>& attempt) const;
   boost::asio::awaitable<bool> BeginStream(const UpstreamReply& head);
   boost::asio::awaitable<bool> ForwardEvents(std::string_view bytes);
+  // The only exit: ends the stream if one has begun, else replies.
+  boost::asio::awaitable<void> Finish(RequestEnd end);
   boost::asio::awaitable<void> FinishStream(AttemptEnd end);
-  // Replies according to the last attempt if no retry follows.
-  boost::asio::awaitable<void> ReplyAfterAttempt(AttemptEnd end);
-  boost::asio::awaitable<void> ReplyUnplaced(Unplaced unplaced);
+  LocalReply ReplyTo(AttemptEnd end) const;
+  LocalReply ReplyTo(const Unplaced& unplaced);
   boost::asio::awaitable<void> ForwardLastReply();
   boost::asio::awaitable<void> SendLocalReply(LocalReply reply);
   bool ShouldRetry(AttemptEnd end);
--- a/src/gateway/exchange_replies.cc
+++ b/src/gateway/exchange_replies.cc
@@ -43,11 +43,37 @@
 
 // GCC 12 destroys a braced temporary in a co_await expression twice, so replies
 // are named variables.
-asio::awaitable<void> Exchange::ReplyUnplaced(Unplaced unplaced) {
+asio::awaitable<void> Exchange::Finish(RequestEnd end) {
+  if (const auto* gone = std::get_if<ClientGone>(&end)) {
+    m_keep_alive = false;
+    m_result = {"client-gone", gone->reason};
+    co_return;
+  }
+  const auto* attempt_end = std::get_if<AttemptEnd>(&end);
   if (m_stream_started) {
-    co_await FinishStream(AttemptEnd::kBroken);
+    co_await FinishStream(attempt_end != nullptr ? *attempt_end
+                                                 : AttemptEnd::kBroken);
     co_return;
   }
+  // A status that says that the request was not executed is not forwarded: it
+  // was.
+  if (attempt_end != nullptr && *attempt_end == AttemptEnd::kWhole &&
+      !StatesNotExecuted(m_last_reply.status)) {
+    co_await ForwardLastReply();
+    co_return;
+  }
+  LocalReply reply;
+  if (attempt_end != nullptr) {
+    reply = ReplyTo(*attempt_end);
+  } else if (const auto* unplaced = std::get_if<Unplaced>(&end)) {
+    reply = ReplyTo(*unplaced);
+  } else {
+    reply = std::get<LocalReply>(std::move(end));
+  }
+  co_await SendLocalReply(std::move(reply));
+}
+
+LocalReply Exchange::ReplyTo(const Unplaced& unplaced) {
   if (unplaced.reason != PlacementRefusal::kQuarantined) {
     m_gateway.router.RecordRefusal(m_service, Now());
   }
@@ -95,7 +121,7 @@
       unplaced.reason == PlacementRefusal::kTooLarge) {
     LogNoMemory(unplaced);
   }
-  co_await SendLocalReply(std::move(reply));
+  return reply;
 }
 
 void Exchange::LogShare(std::string_view event,
@@ -174,12 +200,7 @@
             : fmt::format("{:.0f}", ToMillis(Now() - newest_digest))}});
 }
 
-asio::awaitable<void> Exchange::ReplyAfterAttempt(AttemptEnd end) {
-  // These statuses state that a request was not executed, but this one was.
-  if (end == AttemptEnd::kWhole && !StatesNotExecuted(m_last_reply.status)) {
-    co_await ForwardLastReply();
-    co_return;
-  }
+LocalReply Exchange::ReplyTo(AttemptEnd end) const {
   LocalReply reply{503, end == AttemptEnd::kNotSent ? "unreachable" : "refused",
                    "no upstream took the request", kDefaultRetryAfter};
   if (end == AttemptEnd::kWhole) {
@@ -191,7 +212,7 @@
              timed_out ? "upstream-too-slow" : "upstream-lost",
              "the request may have run"};
   }
-  co_await SendLocalReply(std::move(reply));
+  return reply;
 }
 
 asio::awaitable<void> Exchange::ForwardLastReply() {
