--- a/test/gateway/stream_gets_events_only_test.cc
+++ b/test/gateway/stream_gets_events_only_test.cc
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "support/gateway_site.h"
+#include "support/loopback_engine.h"
 #include "support/scripted_server.h"
 
 namespace pomeloring::test {
@@ -157,6 +158,36 @@
   CHECK(stream.looks_complete);
 }
 
+TEST_CASE("A stream that breaks off at a peer never gets the next reply") {
+  std::string next;
+  const auto reply_to = [&next](const std::string& head) {
+    const bool is_next = head.find("Last-Event-Id: 1") != std::string::npos;
+    return EngineReply{is_next ? next : StreamHead() + StreamEvent(1)};
+  };
+  LoopbackEngine engine(reply_to);
+  const std::string addresses[] = {ClosedAddress(), ClosedAddress()};
+  const GatewaySite peer({{"e1", "engines", engine.Address()},
+                          {"e2", "engines", engine.Address()}},
+                         {}, {"gateway-2", addresses[1], {addresses[0]}});
+  const GatewaySite cut_off({{"e1", "engines", RefusingAddress()},
+                             {"e2", "engines", RefusingAddress()}},
+                            {}, {"gateway-1", addresses[0], {addresses[1]}});
+  // Until the members know each other.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  for (const std::string& reply :
+       {SignedReply(500, "failed"), ChunkedReply(200, kEventStream),
+        StreamHead() + Chunk(kErrorHead) + kStreamEnd}) {
+    CAPTURE(reply);
+    next = reply;
+    const ReceivedStream stream =
+        ParseReceived(PostWithDeadline(cut_off, "900"));
+    CHECK(stream.events == 1);
+    CHECK(stream.rest.empty());
+    CHECK_FALSE(stream.looks_complete);
+  }
+  CHECK(cut_off.Metric("peer_attempts_sent_total") >= 3);
+}
+
 TEST_CASE("A stream that breaks off stays truncated if no upstream is left") {
   ScriptedServer upstream({{StreamHead() + StreamEvent(1)}});
   const GatewaySite site({{"e1", "engines", upstream.Address()}});
