Replies to HEAD have no body

Clients saw: behind the head of a reply to HEAD, the last chunk of a stream or the problem document of the gateway's own reply, on a connection that stayed open. A client takes these bytes for the next reply.

Cause: the exits wrote the same bytes for every method.

Change: the last chunk and the bodies of the gateway's own replies, that of a request refused for want of memory included, are left out for HEAD.

--- a/src/gateway/client_connection.cc
+++ b/src/gateway/client_connection.cc
@@ -213,7 +213,8 @@
     return RefusedClientRequest{parser.get().base(), m_wanted_bytes,
                                 LevelOf(m_memory),
                                 parser.is_done() && parser.get().keep_alive() &&
-                                    FindAmbiguity(parser.get()).empty()};
+                                    FindAmbiguity(parser.get()).empty(),
+                                parser.get().method() == http::verb::head};
   };
   while (!parser.is_done()) {
     if (std::exchange(m_upload_ended, false)) {
--- a/src/gateway/client_connection.h
+++ b/src/gateway/client_connection.h
@@ -42,6 +42,7 @@
   MemoryLevel level = MemoryLevel::kNormal;
   // Whether the connection may be used for the next request.
   bool keep_alive = false;
+  bool is_head = false;
 };
 
 using ReadClientResult = std::variant<ClientRequest,
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -79,6 +79,10 @@
   return m_keep_alive && m_request.keep_alive() && !m_gateway.close_after_reply;
 }
 
+bool Exchange::IsHead() const {
+  return m_request.method() == http::verb::head;
+}
+
 void Exchange::StopAttempt() {
   if (m_upstream_attempt) {
     m_upstream_attempt->Stop();
@@ -290,7 +294,7 @@
   request.id = m_metadata.id;
   request.address = attempt->upstream->record.address;
   request.is_retryable = IsRetryable(*m_route);
-  request.is_head = m_request.method() == http::verb::head;
+  request.is_head = IsHead();
   request.max_connections =
       MaxConnectionsTo(m_gateway.router, m_service, Now());
   request.may_use_peers =
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -89,6 +89,8 @@
   // Whether an upstream may have run the request or a part of it.
   bool HasRun() const;
   bool ShouldKeepAlive() const;
+  // Whether the reply has no body.
+  bool IsHead() const;
   void ArmDeadline();
   void StopAttempt();
   void LogQuarantine(const RequestTrait& trait) const;
--- a/src/gateway/exchange_replies.cc
+++ b/src/gateway/exchange_replies.cc
@@ -235,7 +235,7 @@
   m_result.outcome = std::to_string(reply.status);
   m_result.reason = reply.type;
   const ReplyContext context{m_gateway.codec.request_id_field, m_metadata.id,
-                             ShouldKeepAlive()};
+                             ShouldKeepAlive(), IsHead()};
   std::string bytes = WriteLocalReply(reply, context);
   const bool written = co_await m_client->Write(std::move(bytes));
   m_keep_alive = m_keep_alive && written;
--- a/src/gateway/exchange_streams.cc
+++ b/src/gateway/exchange_streams.cc
@@ -222,7 +222,7 @@
   const bool is_whole = end == AttemptEnd::kWhole &&
                         !m_event_splitter->HasPartialEvent() &&
                         !m_stream_broken;
-  std::string last_chunk(kLastChunk);
+  std::string last_chunk(IsHead() ? std::string_view() : kLastChunk);
   if (is_whole && co_await m_client->Write(std::move(last_chunk))) {
     m_result.outcome = "served";
     m_gateway.router.RecordStreamEnd(KeyOfStream());
--- a/src/gateway/http_reply.cc
+++ b/src/gateway/http_reply.cc
@@ -71,7 +71,7 @@
   head += fmt::format(
       "Content-Type: application/problem+json\r\nContent-Length: {}\r\n{}\r\n",
       body.size(), context.keep_alive ? "" : "Connection: close\r\n");
-  return head + body;
+  return context.is_head ? head : head + body;
 }
 
 std::string WriteReplyHead(unsigned status,
--- a/src/gateway/http_reply.h
+++ b/src/gateway/http_reply.h
@@ -31,6 +31,7 @@
   std::string request_id_field;
   std::string request_id;
   bool keep_alive = true;
+  bool is_head = false;  // The reply has no body.
 };
 
 std::string WriteLocalReply(const LocalReply& reply,
--- a/src/gateway/serve_connection.cc
+++ b/src/gateway/serve_connection.cc
@@ -24,7 +24,7 @@
                          RetryAfterRefusal(refused.level, NextRandom(seed))};
   const ReplyContext context{gateway.codec.request_id_field,
                              metadata != nullptr ? metadata->id : "",
-                             refused.keep_alive};
+                             refused.keep_alive, refused.is_head};
   gateway.log.Write(
       LogLevel::kInfo, "request-refused",
       {{"request", context.request_id},
