--- a/test/gateway/odd_entries_do_not_stop_the_list_test.cc
+++ b/test/gateway/odd_entries_do_not_stop_the_list_test.cc
@@ -107,6 +107,46 @@
   }
 }
 
+Script ListReply(const json::array& items, bool more, uint64_t end) {
+  return {
+      HttpReplyText(200, json::serialize(json::object{
+                             {"items", items}, {"more", more}, {"end", end}}))};
+}
+
+json::object Item(const std::string& key, const std::string& value) {
+  return {{"key", key}, {"value", value}, {"offset", 1}};
+}
+
+// Guards against one item that loses the page, or ends the process.
+TEST_CASE("Odd items of a listed page are skipped") {
+  const std::string sound = platform::EncodeBase64(SoundEntry());
+  std::vector<json::value> odd_items;
+  for (const std::string base64 : {"=", "====", "A=======", "A===", "!!!!",
+                                   "QQ", " ", "\n", "QQ==QQ==", "========"}) {
+    odd_items.push_back(Item("odd", base64));
+  }
+  for (const json::value& odd : odd_items) {
+    CAPTURE(json::serialize(odd));
+    ScriptedServer server(
+        {ListReply({Item("u1", sound), odd, Item("u2", sound)}, false, 9)});
+    const auto store = platform::MakeLogStore(server.Address());
+    const auto result = RunCoroutine<StoreListResult>(
+        [&] { return store->List(StoreTopic::kUpstreams); });
+    CHECK(std::holds_alternative<StoreList>(result));
+    if (const auto* list = std::get_if<StoreList>(&result)) {
+      std::set<std::string> keys;
+      for (const StoreEntry& entry : list->entries) {
+        if (entry.value == SoundEntry()) {
+          keys.insert(entry.key);
+        }
+      }
+      CHECK(keys.contains("u1"));
+      CHECK(keys.contains("u2"));
+      CHECK(list->end.value == 9);
+    }
+  }
+}
+
 TEST_CASE("Odd records of the log do not hold up its position") {
   std::string body(16, '\0');
   const std::vector<std::string> records = {
