--- a/test/gateway/odd_entries_do_not_stop_the_list_test.cc
+++ b/test/gateway/odd_entries_do_not_stop_the_list_test.cc
@@ -120,7 +120,16 @@
 // Guards against one item that loses the page, or ends the process.
 TEST_CASE("Odd items of a listed page are skipped") {
   const std::string sound = platform::EncodeBase64(SoundEntry());
-  std::vector<json::value> odd_items;
+  std::vector<json::value> odd_items = {
+      nullptr,
+      7,
+      json::array{},
+      json::object{},
+      json::object{{"key", 7}, {"value", sound}, {"offset", 1}},
+      json::object{{"key", "odd"}, {"value", sound}, {"offset", -1}},
+      json::object{{"key", "odd"}, {"value", sound}, {"offset", 1e30}},
+      json::object{{"key", "odd"}, {"value", sound}},
+      json::object{{"key", "odd"}, {"value", 7}, {"offset", 1}}};
   for (const std::string base64 : {"=", "====", "A=======", "A===", "!!!!",
                                    "QQ", " ", "\n", "QQ==QQ==", "========"}) {
     odd_items.push_back(Item("odd", base64));
