Take no part of a list for the whole of it

A page that announced more, but named no key to continue after, ended the list as if it were complete: all upstreams of the pages after it counted as gone.

Cause: both ends of the list were one condition.

--- a/test/gateway/odd_entries_do_not_stop_the_list_test.cc
+++ b/test/gateway/odd_entries_do_not_stop_the_list_test.cc
@@ -156,6 +156,15 @@
   }
 }
 
+// Guards against a part of a list that is taken for the whole of it: the
+// upstreams of the other pages would count as gone.
+TEST_CASE("A page after which the list cannot go on is no list") {
+  ScriptedServer server({ListReply({Item("", "QQ==")}, true, 9)});
+  const auto store = platform::MakeLogStore(server.Address());
+  CHECK(std::holds_alternative<StoreNoReply>(RunCoroutine<StoreListResult>(
+      [&] { return store->List(StoreTopic::kUpstreams); })));
+}
+
 TEST_CASE("Odd records of the log do not hold up its position") {
   std::string body(16, '\0');
   const std::vector<std::string> records = {
