Register no upstream without a usable address

An entry with a port out of range, 0 or no number, a host name, no IP address or the unspecified one named an upstream. Requests were sent there, failed and took the place of another attempt.

Cause: the address was not read before a connection was opened. Ruled out: an end of the process; the address never opened a connection.

Change: such an entry is malformed: it names no upstream and is logged once.

--- a/test/gateway/odd_entries_do_not_stop_the_list_test.cc
+++ b/test/gateway/odd_entries_do_not_stop_the_list_test.cc
@@ -75,6 +75,16 @@
     odd.push_back(EntryWith("born", number, address));
     odd.push_back(EntryWith("leaves_ms", number, address));
   }
+  for (const std::string port :
+       {"0", "-1", "65536", "99999999999", "18446744073709551616", "80x", "",
+        " 80", "+80", "0x50"}) {
+    odd.push_back(EntryWith("address", "\"127.0.0.1:" + port + "\""));
+  }
+  for (const std::string other :
+       {"\"\"", "\":80\"", "\"localhost:80\"", "\"127.0.0.1\"",
+        "\"999.0.0.1:80\"", "\"[::1:80\"", "\"0.0.0.0:80\"", "7"}) {
+    odd.push_back(EntryWith("address", other));
+  }
   odd.push_back(EntryWith("state", "\"stopped\"", address));
   return odd;
 }
