--- a/test/gateway/odd_entries_do_not_stop_the_list_test.cc
+++ b/test/gateway/odd_entries_do_not_stop_the_list_test.cc
@@ -67,7 +67,8 @@
         address));
   }
   for (const std::string number :
-       {"1e400", "-1e400", "1e308", "NaN", "Infinity", "9223372036854775808",
+       {"1e400", "-1e400", "1e308", "NaN", "Infinity", "-1", "2147483648",
+        "4294967296", "9223372036854775807", "9223372036854775808",
         "18446744073709551616", "9e99999999999", "1.8e16", "\"8\"", "[8]"}) {
     odd.push_back(EntryWith("slots", number, address));
   }
