--- a/test/gateway/odd_entries_do_not_stop_the_list_test.cc
+++ b/test/gateway/odd_entries_do_not_stop_the_list_test.cc
@@ -86,6 +86,10 @@
         "\"999.0.0.1:80\"", "\"[::1:80\"", "\"0.0.0.0:80\"", "7"}) {
     odd.push_back(EntryWith("address", other));
   }
+  const std::string large = '"' + std::string(100'000, 'x') + '"';
+  for (const std::string field : {"service", "zone", "version"}) {
+    odd.push_back(EntryWith(field, large, address));
+  }
   odd.push_back(EntryWith("state", "\"stopped\"", address));
   return odd;
 }
