Close a connection with bytes behind the reply to a plain call

Cause: the pool took the connection back with the copy in its buffer, and looks for unexpected bytes in the socket only.

Change: such a connection is not put back. A copy that arrives later, with the next request, is still taken for its reply: these replies bear no id.

Evidence: contract/upstream, the new case failed before.

--- a/src/link/upstream_call.cc
+++ b/src/link/upstream_call.cc
@@ -304,7 +304,8 @@
     co_return end;
   }
   end.outcome = AttemptAnswered{};
-  if (end.response.keep_alive()) {
+  // Bytes behind the reply would be taken for the reply to the next request.
+  if (end.response.keep_alive() && connection->buffer.size() == 0) {
     pool.Put(call.address, std::move(connection));
   }
   co_return end;
--- a/test/contract/upstream_test.cc
+++ b/test/contract/upstream_test.cc
@@ -195,5 +195,33 @@
   CHECK(RunPlain(RefusingAddress()) == kNotStarted);
 }
 
+// An answer that the service wrote twice was taken for the answer to the next
+// request on its connection.
+TEST_CASE("a second copy of an answer answers no other request") {
+  const auto answer = [](const std::string& body) {
+    return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
+                       body.size(), body);
+  };
+  ScriptedServer server(
+      {{.reply = answer("first") + answer("first"), .stays_open = true},
+       {.reply = answer("second"), .stays_open = true}});
+  ConnectionPool pool;
+  const auto bodies = RunCoroutine<std::vector<std::string>>(
+      [&]() -> asio::awaitable<std::vector<std::string>> {
+        std::vector<std::string> received;
+        for (int i = 0; i < 2; ++i) {
+          PlainCall call;
+          call.address = server.Address();
+          call.request = HttpRequestMessage{http::verb::get, "/check", 11};
+          call.idempotent = true;
+          call.timeouts = kTimeouts;
+          PlainCallResult end = co_await CallPlain(pool, std::move(call));
+          received.push_back(end.response.body());
+        }
+        co_return received;
+      });
+  CHECK(bodies == std::vector<std::string>{"first", "second"});
+}
+
 }  // namespace
 }  // namespace pomeloring::test
