Gateway: no bodies at the directory, ready and metrics addresses

Whoever reaches one of these addresses could make the process hold 4 MB for each connection for 10 s, in no budget: they only answer, but read bodies up to the default of the HTTP server. They take 4 KB now, and more gets 413.

An accept that fails for want of descriptors was also tried again at once, which takes a processor until one is free. It waits 50 ms, as for callers.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -72,6 +72,8 @@
 // for 200 callers, and enough for 100 Mbit/s to a caller 1 ms away.
 constexpr int kCallerSendBufferBytes = 16 * 1024;
 
+// Requests for the directory, the ready state and the metrics need no body.
+constexpr uint64_t kMaxQueryBodyBytes = 4096;
 // Of a machine whose kernel does not tell its memory.
 constexpr uint64_t kUnknownMemoryMb = 256;
 
@@ -268,23 +270,27 @@
     if (auto error = ServePeers()) {
       return error;
     }
+    HttpLimits limits;
+    limits.max_body_bytes = kMaxQueryBodyBytes;
     if (auto error = Serve(m_settings.directory_address,
-                           MakeHttpHandler(m_handlers.directory))) {
+                           MakeHttpHandler(m_handlers.directory), limits)) {
       return error;
     }
     if (auto error = Serve(m_settings.ready_address,
-                           MakeHttpHandler(m_handlers.ready))) {
+                           MakeHttpHandler(m_handlers.ready), limits)) {
       return error;
     }
-    return Serve(m_settings.metrics_address,
-                 [this](HttpExchange& exchange) -> asio::awaitable<void> {
-                   HttpReply reply;
-                   reply.content_type = "text/plain; version=0.0.4";
-                   ExportCounts(m_metrics, m_pool.Counts());
-                   m_memory_monitor.UpdateGauges();
-                   reply.body = FormatMetrics(m_metrics, m_router, Now());
-                   co_await exchange.Respond(std::move(reply));
-                 });
+    return Serve(
+        m_settings.metrics_address,
+        [this](HttpExchange& exchange) -> asio::awaitable<void> {
+          HttpReply reply;
+          reply.content_type = "text/plain; version=0.0.4";
+          ExportCounts(m_metrics, m_pool.Counts());
+          m_memory_monitor.UpdateGauges();
+          reply.body = FormatMetrics(m_metrics, m_router, Now());
+          co_await exchange.Respond(std::move(reply));
+        },
+        limits);
   }
 
   GatewayExit Run() override {
--- a/src/link/http_server.cc
+++ b/src/link/http_server.cc
@@ -14,6 +14,7 @@
 
 #include "link/address.h"
 #include "link/http_client.h"
+#include "link/sleep.h"
 #include "link/socket_peek.h"
 
 namespace pomeloring {
@@ -26,6 +27,7 @@
 using boost::system::error_code;
 
 constexpr size_t kFirstReadBytes = 4096;
+constexpr std::chrono::milliseconds kAcceptRetryInterval{50};
 
 auto Await(error_code& error) {
   return asio::redirect_error(asio::use_awaitable, error);
@@ -261,6 +263,8 @@
             error == asio::error::bad_descriptor) {
           co_return;
         }
+        // Out of descriptors, the next call would fail at once again.
+        co_await SleepFor(kAcceptRetryInterval);
         continue;
       }
       socket.set_option(tcp::no_delay(true), error);
