Gateway: clients leave descriptors for upstreams, peers and files

400 idle connections took all 200 descriptors of a process, so that it could connect to no upstream and new clients waited for the idle timeout.

Clients hold at most what RLIMIT_NOFILE allows less a quarter, or 1,024. A new connection then takes the place of one whose request was refused, of the one that has been idle longest, or of the one whose request has been arriving longest; it is closed if all others are being served. Metrics: connections_closed_for_room, connections_refused.

--- a/src/gateway/client_connection.cc
+++ b/src/gateway/client_connection.cc
@@ -79,10 +79,14 @@
              : 400;
 }
 
-// Resets the flag of an upload at its end.
-struct UploadEnd {
+// Resets the flags of a request that is being read.
+struct ReadEnd {
+  bool& is_reading;
   bool& is_uploading;
-  ~UploadEnd() { is_uploading = false; }
+  ~ReadEnd() {
+    is_reading = false;
+    is_uploading = false;
+  }
 };
 
 // Frees the buffer if it is empty: with thousands of connections that are idle
@@ -192,6 +196,9 @@
     ClientLimits limits,
     std::function<bool()> make_room) {
   const auto self = shared_from_this();
+  const ReadEnd read_end{m_is_reading, m_is_uploading};
+  m_is_reading = true;
+  m_waits_since = Now();
   m_idle = m_buffer.size() == 0;
   m_request_hold.Set(0);
   FreeIfEmpty(m_buffer, m_read_hold, m_memory.paces_streams);
@@ -206,7 +213,6 @@
   parser.eager(true);
   auto deadline = steady_clock::now() + limits.header_timeout;
   bool has_header = false;
-  const UploadEnd upload_end{m_is_uploading};
   m_wanted_bytes = 0;
   const auto refusal = [&] {
     m_request_hold.Set(0);
@@ -276,6 +282,15 @@
       now - m_last_arrived_at};
 }
 
+ConnectionUse ClientConnection::Use() const {
+  if (m_is_disconnected || !(m_is_reading || m_is_refused)) {
+    return ConnectionUse::kServed;
+  }
+  return m_is_refused ? ConnectionUse::kRefused
+         : m_idle     ? ConnectionUse::kIdle
+                      : ConnectionUse::kArriving;
+}
+
 asio::ip::address ClientConnection::ClientAddress() const {
   error_code ignored;
   return m_socket.remote_endpoint(ignored).address();
@@ -403,6 +418,7 @@
   const auto deadline = steady_clock::now() + kRefusalLinger;
   error_code ignored;
   m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  m_is_refused = true;
   size_t discarded = 0;
   do {
     discarded += m_buffer.size();
--- a/src/gateway/client_connection.h
+++ b/src/gateway/client_connection.h
@@ -50,6 +50,14 @@
                                       BadClientRequest,
                                       RefusedClientRequest>;
 
+// In the order in which connections give way to new ones.
+enum class ConnectionUse : uint8_t {
+  kRefused,  // Open until the client has got its refusal.
+  kIdle,
+  kArriving,  // A request, not yet whole.
+  kServed,    // Or closed.
+};
+
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
   // What the connection buffers is reserved in `memory`.
@@ -93,6 +101,9 @@
   void SetDisconnectHandler(std::function<void()> on_disconnect);
   bool IsDisconnected() const { return m_is_disconnected; }
   bool IsIdle() const { return m_idle; }
+  ConnectionUse Use() const;
+  // When it began to wait for the client's request.
+  Time WaitsSince() const { return m_waits_since; }
 
  private:
   using Parser =
@@ -125,6 +136,7 @@
   std::string m_to_write;  // After `m_writing`.
   Time m_last_taken_at;
   Time m_last_arrived_at;
+  Time m_waits_since;
   uint64_t m_wanted_bytes = 0;  // Of the body that is arriving.
   boost::beast::flat_buffer m_buffer;
   std::array<char, 8192> m_chunk;
@@ -134,6 +146,8 @@
   bool m_write_failed = false;
   bool m_is_disconnected = false;
   bool m_is_uploading = false;
+  bool m_is_reading = false;  // A request.
+  bool m_is_refused = false;
   bool m_upload_ended = false;  // By EndUpload().
   bool m_idle = true;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -19,6 +19,7 @@
 #include "daemon/log.h"
 #include "duties/wall_clock.h"
 #include "gateway/client_connection.h"
+#include "gateway/connection_limit.h"
 #include "gateway/duty_runner.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_context.h"
@@ -36,7 +37,7 @@
 #include "gateway/version_inquiry.h"
 #include "link/address.h"
 #include "link/clock.h"
-#include "link/machine_memory.h"
+#include "link/machine_limits.h"
 #include "link/problem.h"
 #include "link/sleep.h"
 #include "routing/store_readers.h"
@@ -311,6 +312,7 @@
          {"incarnation", std::to_string(m_self.incarnation.value)},
          {"memory_from", m_settings.memory_mb > 0 ? "settings" : "machine"},
          {"buffer_limit_bytes", std::to_string(m_memory.limit)},
+         {"max_clients", std::to_string(m_max_clients)},
          {"seeds", std::to_string(m_settings.seeds.size())}});
     std::future<GatewayExit> end = m_exit.get_future();
     m_threads.Start();
@@ -524,6 +526,9 @@
         co_await SleepFor(kDrainPollInterval);
         continue;
       }
+      if (!MakeRoomForConnection(m_gateway_context, m_max_clients)) {
+        continue;
+      }
       socket.set_option(tcp::no_delay(true), error);
       if (m_memory.paces_streams) {
         socket.set_option(
@@ -816,6 +821,7 @@
   std::optional<ScalingTask> m_scaling;   // Nothing without the duty.
   std::optional<DutyRunner> m_duties;     // Nothing without duties.
   tcp::acceptor m_acceptor;
+  const size_t m_max_clients = MaxClientConnections(MaxDescriptors());
   asio::signal_set m_signals;
   std::vector<std::shared_ptr<HttpServer>> m_servers;
   std::promise<GatewayExit> m_exit;
--- a/src/link/machine_memory.cc
+++ b/src/link/machine_limits.cc
@@ -1,5 +1,6 @@
-#include "link/machine_memory.h"
+#include "link/machine_limits.h"
 
+#include <sys/resource.h>
 #include <sys/sysinfo.h>
 
 namespace pomeloring {
@@ -13,4 +14,13 @@
   return uint64_t{info.totalram} * info.mem_unit / kMegabyte;
 }
 
+std::optional<size_t> MaxDescriptors() {
+  rlimit files{};
+  if (getrlimit(RLIMIT_NOFILE, &files) != 0 ||
+      files.rlim_cur == RLIM_INFINITY) {
+    return std::nullopt;
+  }
+  return files.rlim_cur;
+}
+
 }  // namespace pomeloring
