Bound the durations of the platform's records

A duration of 2^63 - 1 ms, of an upstream's leaving or a route's timeout, became one of -1 ms: the arithmetic overflowed.

Cause: milliseconds were converted to microseconds unchecked.

--- a/test/gateway/odd_entries_do_not_stop_the_list_test.cc
+++ b/test/gateway/odd_entries_do_not_stop_the_list_test.cc
@@ -122,6 +122,24 @@
   }
 }
 
+// Guards against arithmetic beyond the range of a duration.
+TEST_CASE("Durations of the store are bounded") {
+  const auto read = platform::ReadUpstream(
+      "u1", EntryWith("leaves_ms", "9223372036854775807"));
+  REQUIRE(std::holds_alternative<UpstreamRecord>(read));
+  const auto leaves_in = std::get<UpstreamRecord>(read).leaves_in;
+  REQUIRE(leaves_in);
+  CHECK(*leaves_in > Duration{0});
+  CHECK(*leaves_in <= std::chrono::hours(24 * 365));
+  const auto config = platform::ReadConfig(
+      R"({"version":1,"routes":[{"name":"a","host":"h","path_prefix":"/a/",)"
+      R"("type":"safe","service":"s","timeout_ms":9223372036854775807}]})");
+  REQUIRE(std::holds_alternative<RoutingConfig>(config));
+  const Duration timeout = std::get<RoutingConfig>(config).routes[0].timeout;
+  CHECK(timeout > Duration{0});
+  CHECK(timeout <= std::chrono::hours(24 * 365));
+}
+
 Script ListReply(const json::array& items, bool more, uint64_t end) {
   return {
       HttpReplyText(200, json::serialize(json::object{
