--- a/test/gateway/odd_entries_do_not_stop_the_list_test.cc
+++ b/test/gateway/odd_entries_do_not_stop_the_list_test.cc
@@ -140,6 +140,16 @@
   CHECK(timeout <= std::chrono::hours(24 * 365));
 }
 
+// Guards against a version after which no other is newer.
+TEST_CASE("A configuration with an odd version is not taken") {
+  for (const std::string version :
+       {"-1", "1e400", "18446744073709551615", "NaN", "[]", "\"7\""}) {
+    CAPTURE(version);
+    CHECK(std::holds_alternative<MalformedField>(
+        platform::ReadConfig("{\"version\":" + version + "}")));
+  }
+}
+
 Script ListReply(const json::array& items, bool more, uint64_t end) {
   return {
       HttpReplyText(200, json::serialize(json::object{
