Ignore keys that cannot be an upstream's

An entry under a key with a line break put a header line of its own into the requests to its address. One under a key that is no UTF-8 made the list that is sent to peers unreadable, its value sound or not; protobuf said the same of the digests. A listed page with such a key was lost.

Cause: keys were taken as they are into header lines and into protobuf strings, and the page had to be UTF-8. Ruled out: values, in which both are malformed.

Change: an entry whose key is not 1 to 255 visible ASCII characters is skipped and logged once; a page may have keys of any bytes. Of such entries and other malformed ones, 1000 names are kept for the log.

--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -35,6 +35,8 @@
 constexpr size_t kMaxKeptConfigs = 3;
 // A caller waits for it.
 constexpr milliseconds kConfirmPollInterval{5};
+// Entries that are remembered as logged; those beyond are not logged.
+constexpr size_t kMaxLoggedUnreadable = 1000;
 // Pages of one confirmation; each has up to a MB.
 constexpr int kMaxConfirmPages = 64;
 // Two clocks that are read one after the other differ by less.
@@ -311,19 +313,19 @@
                                std::string_view source) {
   std::vector<UpstreamChange> changes;
   for (const StoredUpstream& entry : entries) {
+    if (!IsUpstreamId(entry.id.value)) {
+      LogUnreadable(entry.id, {"(the key)", "1 to 255 visible characters"});
+      continue;
+    }
     UpstreamChange change{entry.id, entry.offset, std::nullopt, {}};
     if (entry.value) {
       auto read = m_context.codec.read_upstream(entry.id.value, *entry.value);
       if (auto* record = std::get_if<UpstreamRecord>(&read)) {
         change.record = std::move(*record);
         change.text = *entry.value;
-      } else if (m_logged_unreadable.insert(entry.id.value).second) {
+      } else {
         // Skips this upstream only.
-        const auto& malformed = std::get<MalformedField>(read);
-        m_context.log.Write(LogLevel::kWarning, "upstream-unreadable",
-                            {{"upstream", entry.id.value},
-                             {"field", malformed.name},
-                             {"expected", malformed.expected}});
+        LogUnreadable(entry.id, std::get<MalformedField>(read));
       }
     }
     changes.push_back(std::move(change));
@@ -349,6 +351,17 @@
   }
 }
 
+void StoreFeed::LogUnreadable(const UpstreamName& id,
+                              const MalformedField& malformed) {
+  if (m_logged_unreadable.size() < kMaxLoggedUnreadable &&
+      m_logged_unreadable.insert(id.value).second) {
+    m_context.log.Write(LogLevel::kWarning, "upstream-unreadable",
+                        {{"upstream", id.value},
+                         {"field", malformed.name},
+                         {"expected", malformed.expected}});
+  }
+}
+
 size_t StoreFeed::ConfigTextBytes() const {
   size_t bytes = 0;
   for (const HashedText& kept : m_config_texts) {
--- a/src/gateway/store_feed.h
+++ b/src/gateway/store_feed.h
@@ -90,6 +90,8 @@
                       LogOffset as_of,
                       bool is_whole_list,
                       std::string_view source);
+  // Logs each entry once.
+  void LogUnreadable(const UpstreamName& id, const MalformedField& malformed);
   boost::asio::awaitable<bool> ListTopic(StoreTopic topic);
   boost::asio::awaitable<bool> ReadTopic(StoreTopic topic, bool may_wait);
   void ApplyEntries(StoreTopic topic,
--- a/src/routing/upstream_table.cc
+++ b/src/routing/upstream_table.cc
@@ -49,6 +49,13 @@
 
 }  // namespace
 
+bool IsUpstreamId(std::string_view id) {
+  constexpr size_t kMaxIdBytes = 255;  // Of a key in the store.
+  return !id.empty() && id.size() <= kMaxIdBytes &&
+         std::all_of(id.begin(), id.end(),
+                     [](char c) { return c > ' ' && c <= '~'; });
+}
+
 bool IsSameProcess(const UpstreamRecord& known, const UpstreamRecord& record) {
   const bool is_same_start =
       record.started_at_ms == known.started_at_ms || record.started_at_ms == 0;
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/ids.h"
@@ -33,6 +34,10 @@
   bool operator==(const UpstreamRecord&) const = default;
 };
 
+// Whether an upstream can be registered as `id`, which becomes part of header
+// lines and of messages between instances.
+bool IsUpstreamId(std::string_view id);
+
 // Whether `record` is of the process of `known`, an earlier registration of the
 // same name. A start time or version that it lacks contradicts none.
 bool IsSameProcess(const UpstreamRecord& known, const UpstreamRecord& record);
--- a/test/gateway/odd_entries_do_not_stop_the_list_test.cc
+++ b/test/gateway/odd_entries_do_not_stop_the_list_test.cc
@@ -7,6 +7,8 @@
 #include <atomic>
 #include <boost/json.hpp>
 
+#include "gateway/peer_codec.h"
+#include "gateway/store_feed.h"
 #include "platform/codecs.h"
 #include "platform/log_client.h"
 #include "platform/log_store.h"
@@ -94,6 +96,12 @@
   return odd;
 }
 
+// Keys under which nothing can be registered: they go into header lines and
+// into messages to peers.
+const std::vector<std::string> kOddKeys = {"u\xff", "u1\r\nX-Tenant: other",
+                                           "u 1", std::string("u\0001", 3),
+                                           std::string(256, 'u')};
+
 std::string SoundEntry(const std::string& address = "127.0.0.1:1") {
   return EntryWith("slots", "8", address);
 }
@@ -177,6 +185,9 @@
                                    "QQ", " ", "\n", "QQ==QQ==", "========"}) {
     odd_items.push_back(Item("odd", base64));
   }
+  for (const std::string& key : kOddKeys) {
+    odd_items.push_back(Item(key, sound));
+  }
   for (const json::value& odd : odd_items) {
     CAPTURE(json::serialize(odd));
     ScriptedServer server(
@@ -236,6 +247,68 @@
   CHECK(page.entries.back().key == "u2");
 }
 
+class UnavailableStore final : public Store {
+ public:
+  asio::awaitable<StoreListResult> List(StoreTopic) override {
+    co_return StoreNoReply{};
+  }
+  asio::awaitable<StorePageResult> Read(StoreTopic,
+                                        LogOffset,
+                                        std::chrono::milliseconds) override {
+    co_return StoreNoReply{};
+  }
+};
+
+// A feed and its dependencies.
+struct Instance {
+  explicit Instance(const std::string& name)
+      : router({.name = {name}}), log(name, LogLevel::kError) {}
+
+  size_t Usable() const {
+    size_t usable = 0;
+    for (const auto& [name, entry] : router.Upstreams().entries) {
+      usable += entry.record ? 1 : 0;
+    }
+    return usable;
+  }
+
+  asio::io_context context;
+  Router router;
+  UnavailableStore store;
+  StoreCodec codec = platform::MakeStoreCodec();
+  Log log;
+  GatewayMetrics metrics;
+  StoreFeed feed{{context, router, store, codec, log, metrics, [] {}}};
+};
+
+// Guards against a key that makes what is sent to peers unreadable: they would
+// follow no change any more.
+TEST_CASE("Peers read the entries beside one with an odd key") {
+  for (const std::string& key : kOddKeys) {
+    for (const std::string& value : {SoundEntry(), std::string("[")}) {
+      CAPTURE(key);
+      StoreUpdate listed;
+      listed.upstreams_as_of.value = 9;
+      listed.is_whole_list = true;
+      listed.upstreams = {{{"u1"}, {1}, SoundEntry()},
+                          {{key}, {2}, value},
+                          {{"u2"}, {3}, SoundEntry()}};
+      Instance reader("a");
+      reader.feed.ApplyPeerUpdate({"store"}, listed);
+      CHECK(reader.Usable() == 2);
+      const auto sent =
+          DecodeStoreUpdate(EncodeStoreUpdate(reader.feed.UpdateSince(0, {})));
+      CHECK(sent);
+      if (sent) {
+        Instance peer("b");
+        peer.feed.ApplyPeerUpdate({"a"}, *sent);
+        CHECK(peer.Usable() == 2);
+        CHECK(peer.router.Upstreams().as_of.value == 9);
+      }
+    }
+  }
+}
+
 void Write(MemoryStore& store,
            const std::string& key,
            const std::string& value) {
@@ -248,6 +321,9 @@
   for (const std::string& text : OddEntries(address)) {
     Write(store, fmt::format("odd-{}", ++count), text);
   }
+  for (const std::string& key : kOddKeys) {
+    Write(store, key, SoundEntry(address));
+  }
 }
 
 // Guards against a list that stops, and an odd entry that attracts requests.
