--- a/test/crowds/crowds_test.cc
+++ b/test/crowds/crowds_test.cc
@@ -85,6 +85,14 @@
   Meet(kClients, {Head("/ask/1000", "Content-Length: 0"), "", 0, false});
 }
 
+// Guards against bytes that wait behind a request that is being served.
+TEST_CASE("bytes behind a request in progress") {
+  const std::string length = fmt::format("Content-Length: {}", kMegabyte);
+  Meet(kClients,
+       {Head("/ask/1000", "Content-Length: 0") + Head("/check/1", length),
+        std::string(16 * 1024, 'x'), 40, false});
+}
+
 // Guards against heads without an end.
 TEST_CASE("heads that do not end") {
   Meet(2 * kClients,
