Soak: cut every other copied reply at the end of a line

What callers saw: requests that ran were taken for refused, also without any id sent twice. A copy that is cut off at the end of a line makes one head with the reply behind it: the status or X-Not-Executed of the one, the id of the other.

Cause in the soak: cuts at any byte seldom fall on the end of a line, and refusals named the id first, which hides the due one. Now every other cut is at the end of a line, and either field may come first.

--- a/test/soak/soak_upstream.cc
+++ b/test/soak/soak_upstream.cc
@@ -168,10 +168,12 @@
     fields = fmt::format("Retry-After: {:.3f}\r\n", pause_s);
   }
   const std::string body = RefusalBody(key);
+  constexpr const char* kNotExecuted = "X-Not-Executed: 1\r\n";
+  const bool is_first = RandomForCopy(2) == 0;
   return fmt::format(
-      "HTTP/1.1 {} x\r\nX-Request-Id: {}\r\nX-Not-Executed: 1\r\n"
-      "{}Content-Length: {}\r\n\r\n{}",
-      status, id, fields, body.size(), body);
+      "HTTP/1.1 {} x\r\n{}X-Request-Id: {}\r\n{}{}Content-Length: {}\r\n\r\n{}",
+      status, is_first ? kNotExecuted : "", id, is_first ? "" : kNotExecuted,
+      fields, body.size(), body);
 }
 
 std::optional<SoakUpstream::Copy> SoakUpstream::RandomCopy(
@@ -207,6 +209,15 @@
   return copy;
 }
 
+// Every other cut is at the end of a line, which then goes on with the first
+// line of the due reply: both together may look like one head.
+size_t SoakUpstream::RandomCut(std::string_view bytes) {
+  const size_t cut = 1 + RandomForCopy(bytes.size() - 1);
+  const size_t line_end = bytes.find("\r\n", cut);
+  const bool at_line_end = RandomForCopy(2) == 0;
+  return at_line_end && line_end != std::string_view::npos ? line_end : cut;
+}
+
 void SoakUpstream::BreakCopy(Copy& copy) {
   copy.is_whole = false;
   const size_t first_line = copy.bytes.find("\r\n") + 2;
@@ -225,7 +236,7 @@
       break;
     default:
       copy.closes = RandomForCopy(2) == 0;
-      copy.bytes.resize(1 + RandomForCopy(copy.bytes.size() - 1));
+      copy.bytes.resize(RandomCut(copy.bytes));
   }
 }
 
--- a/test/soak/soak_upstream.h
+++ b/test/soak/soak_upstream.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "soak/oracle.h"
@@ -101,6 +102,7 @@
                                  std::string_view request_id);
   // Writes a part of the copy, or bytes without end after it.
   void BreakCopy(Copy& copy);
+  size_t RandomCut(std::string_view bytes);
   boost::asio::awaitable<bool> WriteReply(Connection& connection,
                                           SentReply reply);
   // Returns whether the connection can be used further.
