Memory: idle connections keep no read buffer

Cause: without the setting, each connection kept an empty buffer of 16 KB, which counted among the bodies.

Change: an empty buffer is freed, whether memory_mb is set or not.

--- a/src/gateway/client_connection.cc
+++ b/src/gateway/client_connection.cc
@@ -20,8 +20,6 @@
 // Limit of what is read behind a request in progress. Reading continues until
 // then, since only a read detects a disconnect.
 constexpr size_t kMaxReadAheadBytes = size_t{64} * 1024;
-// Of an empty read buffer that is kept for the next request.
-constexpr size_t kKeptBufferBytes = size_t{16} * 1024;
 // For the rest of a request after its header.
 constexpr std::chrono::seconds kBodyTimeout{10};
 // Streams that wait for their caller check the memory level this often.
@@ -91,11 +89,8 @@
 
 // Frees the buffer if it is empty: with thousands of connections that are idle
 // or wait for a reply, their buffers alone would fill the budget.
-void FreeIfEmpty(boost::beast::flat_buffer& buffer,
-                 MemoryHold& hold,
-                 bool frees_small) {
-  if (buffer.size() == 0 &&
-      (frees_small || buffer.capacity() > kKeptBufferBytes)) {
+void FreeIfEmpty(boost::beast::flat_buffer& buffer, MemoryHold& hold) {
+  if (buffer.size() == 0) {
     buffer.shrink_to_fit();
   }
   hold.Set(buffer.capacity());
@@ -201,7 +196,7 @@
   m_waits_since = Now();
   m_idle = m_buffer.size() == 0;
   m_request_hold.Set(0);
-  FreeIfEmpty(m_buffer, m_read_hold, m_memory.paces_streams);
+  FreeIfEmpty(m_buffer, m_read_hold);
   if (m_idle &&
       !co_await WaitForBytes(steady_clock::now() + limits.idle_timeout)) {
     co_return ConnectionEnded{};
@@ -263,7 +258,7 @@
     }
   }
   m_is_uploading = false;
-  FreeIfEmpty(m_buffer, m_read_hold, m_memory.paces_streams);
+  FreeIfEmpty(m_buffer, m_read_hold);
   ReadMore();
   ClientRequest request = parser.release();
   const std::string ambiguity = FindAmbiguity(request);
@@ -423,7 +418,7 @@
   do {
     discarded += m_buffer.size();
     m_buffer.consume(m_buffer.size());
-    FreeIfEmpty(m_buffer, m_read_hold, true);
+    FreeIfEmpty(m_buffer, m_read_hold);
   } while (discarded <= kMaxDiscardedBytes && co_await WaitForBytes(deadline));
   Close();
 }
