Gateway: bound what the kernel buffers for each client

Sockets of clients get a send buffer of 64 KB (16 KB with paced streams, as before) and a receive buffer of 32 KB; Linux doubles both.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -72,6 +72,11 @@
 // which count as this process's memory too. Linux reserves twice as much: 6 MB
 // for 200 callers, and enough for 100 Mbit/s to a caller 1 ms away.
 constexpr int kCallerSendBufferBytes = 16 * 1024;
+// Otherwise, so that slow callers leave most of a reply with the process, which
+// counts it. Linux reserves twice as much.
+constexpr int kUnpacedSendBufferBytes = 64 * 1024;
+// Of callers: what they send while nobody reads it.
+constexpr int kCallerReceiveBufferBytes = 32 * 1024;
 
 // Requests for the directory, the ready state and the metrics need no body.
 constexpr uint64_t kMaxQueryBodyBytes = 4096;
@@ -530,10 +535,13 @@
         continue;
       }
       socket.set_option(tcp::no_delay(true), error);
-      if (m_memory.paces_streams) {
-        socket.set_option(
-            asio::socket_base::send_buffer_size(kCallerSendBufferBytes), error);
-      }
+      socket.set_option(asio::socket_base::send_buffer_size(
+                            m_memory.paces_streams ? kCallerSendBufferBytes
+                                                   : kUnpacedSendBufferBytes),
+                        error);
+      socket.set_option(
+          asio::socket_base::receive_buffer_size(kCallerReceiveBufferBytes),
+          error);
       Spawn(ServeConnection(
           m_gateway_context,
           std::make_shared<ClientConnection>(std::move(socket), m_memory)));
