Memory: end uploads together, and only if that makes room

What clients would see (found in review): a large body that could not be admitted in any case ended other unfinished uploads one after the other, and was refused itself.

Change: the uploads to end are chosen in one pass; none is ended unless those before the asker make enough room. The address of a client is read once.

--- a/src/gateway/client_connection.cc
+++ b/src/gateway/client_connection.cc
@@ -106,7 +106,10 @@
       m_read_hold(memory, MemoryKind::kRequests),
       m_write_hold(memory, MemoryKind::kStreams),
       m_data_arrived(m_socket.get_executor()),
-      m_write_progress(m_socket.get_executor()) {}
+      m_write_progress(m_socket.get_executor()) {
+  error_code ignored;
+  m_client_address = m_socket.remote_endpoint(ignored).address();
+}
 
 void ClientConnection::Start() {
   ReadMore();
@@ -161,7 +164,7 @@
 // do: their sum is known only at their end.
 bool ClientConnection::AdmitBody(Parser& parser,
                                  uint64_t max_bytes,
-                                 const std::function<bool()>& make_room) {
+                                 const MakeRoom& make_room) {
   std::string& body = parser.get().body();
   uint64_t needed = body.size();
   if (parser.content_length()) {
@@ -177,10 +180,9 @@
     m_last_arrived_at = Now();
   }
   m_wanted_bytes = needed;
-  while (!AdmitsBody(m_memory, m_request_hold.Bytes(), m_wanted_bytes)) {
-    if (!make_room()) {
-      return false;
-    }
+  if (!AdmitsBody(m_memory, m_request_hold.Bytes(), m_wanted_bytes) &&
+      !make_room(m_wanted_bytes)) {
+    return false;
   }
   m_request_hold.Set(m_wanted_bytes);
   body.reserve(m_wanted_bytes);
@@ -189,7 +191,7 @@
 
 asio::awaitable<ReadClientResult> ClientConnection::ReadRequest(
     ClientLimits limits,
-    std::function<bool()> make_room) {
+    MakeRoom make_room) {
   const auto self = shared_from_this();
   const ReadEnd read_end{m_is_reading, m_is_uploading};
   m_is_reading = true;
@@ -273,8 +275,8 @@
     return std::nullopt;
   }
   return UnfinishedUpload{
-      std::max<uint64_t>(m_wanted_bytes, m_request_hold.Bytes()), 0,
-      now - m_last_arrived_at};
+      std::max<uint64_t>(m_wanted_bytes, m_request_hold.Bytes()),
+      m_request_hold.Bytes(), 0, now - m_last_arrived_at};
 }
 
 ConnectionUse ClientConnection::Use() const {
@@ -286,11 +288,6 @@
                       : ConnectionUse::kArriving;
 }
 
-asio::ip::address ClientConnection::ClientAddress() const {
-  error_code ignored;
-  return m_socket.remote_endpoint(ignored).address();
-}
-
 void ClientConnection::EndUpload() {
   m_upload_ended = true;
   m_request_hold.Set(0);
--- a/src/gateway/client_connection.h
+++ b/src/gateway/client_connection.h
@@ -58,6 +58,9 @@
   kServed,    // Or closed.
 };
 
+// Makes room for a body of `bytes`. Returns false if it is to be refused.
+using MakeRoom = std::function<bool(uint64_t bytes)>;
+
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
   // What the connection buffers is reserved in `memory`.
@@ -67,11 +70,10 @@
   void Start();
   // Waits for the next request, and rejects one that exceeds `limits` or that
   // HTTP parsers may interpret differently. The request's body stays reserved
-  // until the next call. `make_room` is called while the body does not fit
-  // beside others; it returns false if this request is to be refused.
-  boost::asio::awaitable<ReadClientResult> ReadRequest(
-      ClientLimits limits,
-      std::function<bool()> make_room);
+  // until the next call. `make_room` is called if the body does not fit beside
+  // others.
+  boost::asio::awaitable<ReadClientResult> ReadRequest(ClientLimits limits,
+                                                       MakeRoom make_room);
   // Writes all of `bytes`. Returns false if the client has disconnected.
   boost::asio::awaitable<bool> Write(std::string bytes);
   // Writes `bytes`, and returns once the next ones may be read from their
@@ -94,7 +96,9 @@
   std::optional<UnfinishedUpload> Upload(Time now) const;
   // Refuses the request whose body is arriving. Its bytes are released.
   void EndUpload();
-  boost::asio::ip::address ClientAddress() const;
+  const boost::asio::ip::address& ClientAddress() const {
+    return m_client_address;
+  }
 
   // Calls `on_disconnect` once when the client disconnects, or now if it has
   // done so already. Null removes the handler.
@@ -112,9 +116,7 @@
   void ReadMore();
   // Reserves the bytes that the body takes once `m_buffer` is parsed. Returns
   // false if the request is to be refused.
-  bool AdmitBody(Parser& parser,
-                 uint64_t max_bytes,
-                 const std::function<bool()>& make_room);
+  bool AdmitBody(Parser& parser, uint64_t max_bytes, const MakeRoom& make_room);
   // Adds `bytes` to those to be written. With paced streams only.
   void Enqueue(std::string bytes);
   void WriteMore();
@@ -125,6 +127,7 @@
       std::chrono::steady_clock::time_point deadline);
 
   boost::asio::ip::tcp::socket m_socket;
+  boost::asio::ip::address m_client_address;
   MemoryBudget& m_memory;
   MemoryHold m_request_hold;
   MemoryHold m_read_hold;
--- a/src/gateway/memory_monitor.cc
+++ b/src/gateway/memory_monitor.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "gateway/client_connection.h"
@@ -16,28 +17,37 @@
 
 }  // namespace
 
-bool EndUploadFor(GatewayContext& gateway, const ClientConnection& asker) {
+bool EndUploadsFor(GatewayContext& gateway,
+                   const ClientConnection& asker,
+                   uint64_t bytes) {
   const Time now = Now();
   std::vector<ClientConnection*> callers;
   std::vector<UnfinishedUpload> uploads;
   std::map<boost::asio::ip::address, uint64_t> held_by;
+  std::optional<size_t> asker_index;
   for (ClientConnection* caller : gateway.callers) {
     if (const auto upload = caller->Upload(now)) {
+      if (caller == &asker) {
+        asker_index = uploads.size();
+      }
       callers.push_back(caller);
       uploads.push_back(*upload);
       held_by[caller->ClientAddress()] += upload->held;
     }
   }
+  if (!asker_index) {
+    return false;
+  }
   for (size_t i = 0; i < uploads.size(); ++i) {
     uploads[i].held_by_address = held_by[callers[i]->ClientAddress()];
   }
-  const auto first = ChooseUploadToEnd(uploads);
-  if (!first || callers[*first] == &asker) {
-    return false;
+  const std::vector<size_t> chosen =
+      ChooseUploadsToEnd(gateway.memory, uploads, *asker_index, bytes);
+  for (const size_t i : chosen) {
+    CountEvent(gateway.metrics, "uploads_ended");
+    callers[i]->EndUpload();
   }
-  CountEvent(gateway.metrics, "uploads_ended");
-  callers[*first]->EndUpload();
-  return true;
+  return !chosen.empty();
 }
 
 MemoryMonitor::MemoryMonitor(GatewayContext& gateway)
--- a/src/gateway/memory_monitor.h
+++ b/src/gateway/memory_monitor.h
@@ -8,9 +8,11 @@
 
 namespace pomeloring {
 
-// Refuses an unfinished request to make room for that of `asker`. Returns false
-// if `asker` itself is to be refused.
-bool EndUploadFor(GatewayContext& gateway, const ClientConnection& asker);
+// Refuses unfinished requests to make room for the body of `asker`, which is to
+// have `bytes`. Returns false, and refuses none, if `asker` is to be refused.
+bool EndUploadsFor(GatewayContext& gateway,
+                   const ClientConnection& asker,
+                   uint64_t bytes);
 
 // Does nothing without a memory limit. Used from one thread.
 class MemoryMonitor {
--- a/src/gateway/serve_connection.cc
+++ b/src/gateway/serve_connection.cc
@@ -43,8 +43,9 @@
   while (true) {
     const auto config = gateway.router.Config();
     const ClientLimits limits = config ? config->limits : ClientLimits();
-    auto read = co_await client->ReadRequest(
-        limits, [&] { return EndUploadFor(gateway, *client); });
+    auto read = co_await client->ReadRequest(limits, [&](uint64_t bytes) {
+      return EndUploadsFor(gateway, *client, bytes);
+    });
     if (std::holds_alternative<ConnectionEnded>(read)) {
       client->Close();
       co_return;
--- a/src/memory/memory_budget.cc
+++ b/src/memory/memory_budget.cc
@@ -163,21 +163,37 @@
           static_cast<double>(requests) <= kAloneFraction * limit);
 }
 
-std::optional<size_t> ChooseUploadToEnd(
-    std::span<const UnfinishedUpload> uploads) {
+// Ending some uploads and refusing the asker all the same would serve nobody.
+std::vector<size_t> ChooseUploadsToEnd(
+    const MemoryBudget& budget,
+    std::span<const UnfinishedUpload> uploads,
+    size_t asker,
+    uint64_t bytes) {
   const auto rank = [&](size_t i) {
     const UnfinishedUpload& upload = uploads[i];
     return std::tuple(upload.idle_for >= kUploadStalled, upload.held_by_address,
                       upload.held);
   };
-  std::optional<size_t> first;
+  const bool is_large = uploads[asker].held > kLargeBodyBytes;
+  std::vector<size_t> order;
   for (size_t i = 0; i < uploads.size(); ++i) {
-    if (uploads[i].held > kLargeBodyBytes &&
-        (!first || rank(i) > rank(*first))) {
-      first = i;
+    if (i != asker && uploads[i].held > kLargeBodyBytes &&
+        (!is_large || rank(i) > rank(asker))) {
+      order.push_back(i);
     }
   }
-  return first;
+  std::sort(order.begin(), order.end(),
+            [&](size_t a, size_t b) { return rank(a) > rank(b); });
+  MemoryBudget others = budget;
+  uint64_t& requests = others.held[static_cast<size_t>(MemoryKind::kRequests)];
+  for (size_t count = 0; count < order.size(); ++count) {
+    requests -= std::min(requests, uploads[order[count]].reserved);
+    if (AdmitsBody(others, uploads[asker].reserved, bytes)) {
+      order.resize(count + 1);
+      return order;
+    }
+  }
+  return {};
 }
 
 Duration RetryAfterRefusal(MemoryLevel level, uint64_t random) {
--- a/src/memory/memory_budget.h
+++ b/src/memory/memory_budget.h
@@ -85,16 +85,21 @@
 
 // A request whose body is still arriving.
 struct UnfinishedUpload {
-  uint64_t held = 0;             // In bytes.
+  uint64_t held = 0;             // In bytes, with those that it asks for.
+  uint64_t reserved = 0;         // Of these, in the budget.
   uint64_t held_by_address = 0;  // By all such requests of its client address.
   Duration idle_for{0};          // Since the last byte arrived.
 };
 
-// Returns which one to end when another body needs room: one that makes no
-// progress before one that does, then the one whose address holds most, then
-// the one that holds most itself. None that is not large.
-std::optional<size_t> ChooseUploadToEnd(
-    std::span<const UnfinishedUpload> uploads);
+// Returns which uploads to end, by their indices, so that the body of
+// `uploads[asker]` may have `bytes`: those that make no progress before those
+// that do, then those whose address holds most, then the largest. None that is
+// not large, and none at all if those before the asker do not suffice.
+std::vector<size_t> ChooseUploadsToEnd(
+    const MemoryBudget& budget,
+    std::span<const UnfinishedUpload> uploads,
+    size_t asker,
+    uint64_t bytes);
 
 // Returns when a refused caller should retry. `random` spreads the returns of
 // callers that are refused together.
