--- a/src/gateway/client_connection.cc
+++ b/src/gateway/client_connection.cc
@@ -17,8 +17,7 @@
 using boost::system::error_code;
 using std::chrono::steady_clock;
 
-// Limit of what is read behind a request in progress. Reading continues until
-// then, since only a read detects a disconnect.
+// Of a request that is being read.
 constexpr size_t kMaxReadAheadBytes = size_t{64} * 1024;
 // For the rest of a request after its header.
 constexpr std::chrono::seconds kBodyTimeout{10};
@@ -115,9 +114,12 @@
   ReadMore();
 }
 
+// Little is read behind a request in progress: bytes that wait there give way
+// to nobody. A read is pending until then, since only that notices a
+// disconnect.
 void ClientConnection::ReadMore() {
-  if (m_read_pending || m_is_disconnected ||
-      m_buffer.size() >= kMaxReadAheadBytes) {
+  const size_t max_bytes = m_is_reading ? kMaxReadAheadBytes : m_chunk.size();
+  if (m_read_pending || m_is_disconnected || m_buffer.size() >= max_bytes) {
     return;
   }
   m_read_pending = true;
