--- a/test/crowds/crowds_test.cc
+++ b/test/crowds/crowds_test.cc
@@ -134,6 +134,23 @@
   }
 }
 
+// Guards against connections that hold the room of bodies while they are idle.
+TEST_CASE("idle clients whose bodies have been served") {
+  constexpr size_t kIdle = 480;
+  const size_t body = 64 * 1024;
+  CrowdSite site({.sets_memory = false});
+  site.Gather(site.CallerAddress(), kIdle,
+              {Head("/check/1", fmt::format("Content-Length: {}", body)),
+               std::string(body, 'x'), 1});
+  const std::string reply = SendRaw(
+      site.CallerAddress(),
+      Head("/check/1", fmt::format("Connection: close\r\nContent-Length: {}",
+                                   4 * kMegabyte)) +
+          std::string(4 * kMegabyte, 'x'));
+  CHECK(reply.starts_with("HTTP/1.1 200"));
+  site.CheckServes(kIdle + kMaxDescriptors);
+}
+
 // Guards against a crowd that leaves no descriptor for the other clients.
 TEST_CASE("more connections than descriptors") {
   constexpr size_t kMaxFiles = 200;
@@ -142,5 +159,13 @@
   site.CheckServes(kMaxFiles);
 }
 
+// Guards against the same crowd at an address that only answers.
+TEST_CASE("more directory connections than descriptors") {
+  constexpr size_t kMaxFiles = 200;
+  CrowdSite site({.max_files = kMaxFiles});
+  site.Gather(site.DirectoryAddress(), 2 * kMaxFiles, {});
+  site.CheckServes(kMaxFiles);
+}
+
 }  // namespace
 }  // namespace pomeloring::test
