Gateway: a status that no reply may have fails the attempt

Callers saw: the bytes in the body of a reply with status 000 as a sealed 200 of their upstream. The same with 001, 020, 099, 101, and with an interim reply that has a length; with an empty body, a 504 after their timeout.

Cause: each status below 200 was taken for an interim reply, and what followed on the connection for the next head. The parser accepts any three digits.

Ruled out: statuses of two or four digits, with letters or signs: the parser refuses them, before and after.

Change: ClassifyReplyHead() tells interim (100, 102 to 199 without a body), final (200 and above) and invalid heads. An invalid one ends the attempt and closes its connection; the request may have run, whatever the fields say. 600 to 999 are returned unchanged, as before. The log names the upstream.

--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -10,6 +10,7 @@
 #include "gateway/peer_attempt.h"
 #include "gateway/reply_end.h"
 #include "link/clock.h"
+#include "link/reply_head.h"
 
 namespace pomeloring {
 namespace {
@@ -24,7 +25,6 @@
 constexpr size_t kMaxWholeReplyBytes = size_t{8} * 1024 * 1024;
 // Of a reply to another request, which is read only to be discarded.
 constexpr size_t kMaxForeignReplyBytes = size_t{256} * 1024;
-constexpr int kMaxInterimReplies = 8;
 // Replies to earlier requests that are skipped before the expected one.
 constexpr int kMaxForeignReplies = 3;
 // Extends the read timeout while the upstream sends on other connections, since
@@ -38,7 +38,6 @@
 // Fraction of the connections to an upstream that the known instances divide
 // among themselves; the rest is for instances that this one does not know of.
 constexpr double kUsableConnectionFraction = 0.9;
-constexpr unsigned kFirstFinalStatus = 200;
 
 auto Await(error_code& error) {
   return asio::redirect_error(asio::use_awaitable, error);
@@ -387,6 +386,9 @@
                                      *parser, Await(error));
     if (error) {
       LogIfTooLarge(error);
+      if (error == http::error::bad_status) {
+        LogInvalidHead(error.message());
+      }
       co_return false;
     }
     const auto& head = parser->get();
@@ -396,7 +398,12 @@
     if (is_from_upstream) {
       RecordByte();
     }
-    if (head.result_int() < kFirstFinalStatus) {
+    const ReplyHeadKind kind = ClassifyReplyHead(head);
+    if (kind == ReplyHeadKind::kInvalid) {
+      LogInvalidHead(fmt::format("status {:03}", head.result_int()));
+      co_return false;
+    }
+    if (kind == ReplyHeadKind::kInterim) {
       if (++interim_replies > kMaxInterimReplies) {
         LogExceeded("interim-replies");
         co_return false;
@@ -438,6 +445,15 @@
        {"not_executed", metadata.not_executed ? "true" : "false"}});
 }
 
+void UpstreamAttempt::LogInvalidHead(const std::string& cause) {
+  CountEvent(m_gateway.metrics, "invalid_reply_heads");
+  m_gateway.log.Write(LogLevel::kWarning, "reply-head-invalid",
+                      {{"request", m_request.id},
+                       {"upstream", m_attempt->upstream->record.id.value},
+                       {"peer", m_peer ? m_peer->name.value : ""},
+                       {"cause", cause}});
+}
+
 // A refusal that arrives sooner than a reply can is a sign of a repeated one.
 void UpstreamAttempt::LogNotExecuted() {
   CountEvent(m_gateway.metrics, "attempts_not_executed");
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -124,6 +124,7 @@
   void LogUndueReply(ReplyMatch match,
                      const ReplyMetadata& metadata,
                      unsigned status);
+  void LogInvalidHead(const std::string& cause);
   void LogNotExecuted();
   AttemptEnd FailureEnd() const;
   void LogReplyCut();
