Links: interim heads are skipped, and invalid ones end the call

Callers of pomeloring-node saw: HTTP/1.1 000 with the upstream's body; an empty 100 or 103 in place of the 200 that followed it; streams behind an interim reply were lost. A status 000 with the field for "not started" was believed.

Cause: all readers of replies but the gateway's take the first head for the reply, whatever its status: the node's calls, and the clients of the log, of orders, of duties and of other instances' state.

Ruled out: resets during an upload. These clients write the whole request before they read, so that the read gets the error, or the write fails.

--- a/src/link/http_client.cc
+++ b/src/link/http_client.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 
 #include "link/address.h"
+#include "link/reply_head.h"
 #include "link/socket_peek.h"
 
 namespace pomeloring {
@@ -45,6 +46,29 @@
   co_return connection;
 }
 
+asio::awaitable<error_code> ReadFinalHead(HttpConnection& connection,
+                                          uint64_t max_body_bytes,
+                                          std::optional<ReplyParser>& parser) {
+  for (int heads = 0; heads <= kMaxInterimReplies; ++heads) {
+    parser.emplace();
+    parser->body_limit(max_body_bytes);
+    error_code error;
+    co_await http::async_read_header(connection.stream, connection.buffer,
+                                     *parser, Await(error));
+    if (error) {
+      co_return error;
+    }
+    const ReplyHeadKind kind = ClassifyReplyHead(parser->get());
+    if (kind == ReplyHeadKind::kFinal) {
+      co_return error_code();
+    }
+    if (kind == ReplyHeadKind::kInvalid) {
+      break;
+    }
+  }
+  co_return http::error::bad_status;
+}
+
 asio::awaitable<HttpResult> SendHttpRequest(std::string address,
                                             HttpRequestMessage request,
                                             std::chrono::milliseconds timeout) {
@@ -61,15 +85,17 @@
   if (error) {
     co_return ReplyLost{error == beast::error::timeout};
   }
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxReplyBytes);
-  co_await http::async_read(connection.stream, connection.buffer, parser,
-                            Await(error));
+  std::optional<ReplyParser> parser;
+  error = co_await ReadFinalHead(connection, kMaxReplyBytes, parser);
+  if (!error) {
+    co_await http::async_read(connection.stream, connection.buffer, *parser,
+                              Await(error));
+  }
   if (error) {
     co_return ReplyLost{error == beast::error::timeout,
-                        parser.get().body().size()};
+                        parser->get().body().size()};
   }
-  co_return parser.release();
+  co_return parser->release();
 }
 
 // The stream's timer spans all operations until it is set again, and Beast's
@@ -91,22 +117,25 @@
     co_await http::async_write_some(connection.stream, serializer,
                                     Await(error));
   }
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxReplyBytes);
-  parser.eager(true);
-  bool has_begun = false;
-  while (!error && !parser.is_done()) {
-    connection.stream.expires_after(has_begun ? timeouts.silence
-                                              : timeouts.first_byte);
-    co_await http::async_read_some(connection.stream, connection.buffer, parser,
-                                   Await(error));
-    has_begun = true;
+  std::optional<ReplyParser> parser;
+  if (!error) {
+    connection.stream.expires_after(timeouts.first_byte);
+    error = co_await ReadFinalHead(connection, kMaxReplyBytes, parser);
+  }
+  if (error) {
+    co_return ReplyLost{error == beast::error::timeout};
+  }
+  parser->eager(true);
+  while (!error && !parser->is_done()) {
+    connection.stream.expires_after(timeouts.silence);
+    co_await http::async_read_some(connection.stream, connection.buffer,
+                                   *parser, Await(error));
   }
   if (error) {
     co_return ReplyLost{error == beast::error::timeout,
-                        parser.get().body().size()};
+                        parser->get().body().size()};
   }
-  co_return parser.release();
+  co_return parser->release();
 }
 
 std::unique_ptr<HttpConnection> ConnectionPool::Take(
--- a/src/link/http_client.h
+++ b/src/link/http_client.h
@@ -10,10 +10,12 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <boost/system/error_code.hpp>
 #include <chrono>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -55,6 +57,19 @@
     std::string address,
     std::chrono::milliseconds timeout);
 
+using ReplyParser =
+    boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+// Reads heads up to a final one, after which `parser` can read the body, of up
+// to `max_body_bytes`. Interim replies are skipped. Returns
+// http::error::bad_status for a head that no reply may have (see
+// ClassifyReplyHead()), and after more than kMaxInterimReplies. The timeout of
+// the stream applies to all heads together.
+boost::asio::awaitable<boost::system::error_code> ReadFinalHead(
+    HttpConnection& connection,
+    uint64_t max_body_bytes,
+    std::optional<ReplyParser>& parser);
+
 // Sends one request over a new connection and reads the complete reply.
 // `timeout` applies to connecting, and again to the request with its reply: for
 // messages of a bounded size.
--- a/src/link/upstream_call.cc
+++ b/src/link/upstream_call.cc
@@ -66,9 +66,7 @@
       : m_connection(connection),
         m_call(call),
         m_progress(progress),
-        m_sink(sink) {
-    m_parser.body_limit(kMaxAnswerBytes);
-  }
+        m_sink(sink) {}
 
   bool HasReplyHead() const { return m_has_reply_head; }
   const std::string& FinishReason() const { return m_finish_reason; }
@@ -79,16 +77,15 @@
     HttpRequestMessage request = MakeRequest();
     co_await http::async_write(m_connection.stream, request, Await(error));
     if (!error) {
-      co_await http::async_read_header(m_connection.stream, m_connection.buffer,
-                                       m_parser, Await(error));
+      error = co_await ReadFinalHead(m_connection, kMaxAnswerBytes, m_parser);
     }
     if (error) {
       co_return ResultOf(error);
     }
     m_has_reply_head = true;
-    if (m_parser.get().result() != http::status::ok) {
-      co_return IsNotStarted(m_parser.get()) ? StreamResult::kRefused
-                                             : StreamResult::kLost;
+    if (m_parser->get().result() != http::status::ok) {
+      co_return IsNotStarted(m_parser->get()) ? StreamResult::kRefused
+                                              : StreamResult::kLost;
     }
     co_return co_await ReadBody();
   }
@@ -117,21 +114,21 @@
 
   asio::awaitable<StreamResult> ReadBody() {
     while (!m_done) {
-      std::string bytes = std::move(m_parser.get().body());
-      m_parser.get().body().clear();
+      std::string bytes = std::move(m_parser->get().body());
+      m_parser->get().body().clear();
       for (const std::string& event : m_events.Feed(bytes)) {
         const StreamResult end = co_await HandleEvent(event);
         if (end != StreamResult::kComplete) {
           co_return end;
         }
       }
-      if (m_parser.is_done() || m_done) {
+      if (m_parser->is_done() || m_done) {
         break;
       }
       error_code error;
       m_connection.stream.expires_after(m_call.timeouts.stream_idle);
       co_await http::async_read_some(m_connection.stream, m_connection.buffer,
-                                     m_parser, Await(error));
+                                     *m_parser, Await(error));
       if (error && error != http::error::end_of_stream) {
         co_return ResultOf(error);
       }
@@ -193,7 +190,7 @@
   const ModelCall& m_call;
   StreamProgress& m_progress;
   const TokenSink& m_sink;
-  http::response_parser<http::string_body> m_parser;
+  std::optional<ReplyParser> m_parser;  // Set once a head arrives.
   EventStreamReader m_events;
   bool m_has_reply_head = false;
   bool m_done = false;
@@ -280,10 +277,12 @@
   call.request.keep_alive(true);
   call.request.prepare_payload();
   co_await http::async_write(connection->stream, call.request, Await(error));
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxAnswerBytes);
+  std::optional<ReplyParser> parser;
+  if (!error) {
+    error = co_await ReadFinalHead(*connection, kMaxAnswerBytes, parser);
+  }
   if (!error) {
-    co_await http::async_read(connection->stream, connection->buffer, parser,
+    co_await http::async_read(connection->stream, connection->buffer, *parser,
                               Await(error));
   }
   if (error) {
@@ -298,7 +297,7 @@
     }
     co_return end;
   }
-  end.response = parser.release();
+  end.response = parser->release();
   if (IsNotStarted(end.response)) {
     end.outcome = AttemptNotStarted{};
     co_return end;
--- a/test/contract/engine_orders_test.cc
+++ b/test/contract/engine_orders_test.cc
@@ -30,6 +30,9 @@
 TEST_CASE("a reply to an order maps to the right outcome") {
   const OrderCase cases[] = {
       {"accepted", {HttpReplyText(200, "{}")}, kAccepted},
+      {"accepted after an interim reply",
+       {"HTTP/1.1 102 x\r\n\r\n" + HttpReplyText(200, "{}")},
+       kAccepted},
       {"stale fencing number",
        {HttpReplyText(409, R"({"fencing":15})")},
        kRefused},
--- a/test/contract/platform_test.cc
+++ b/test/contract/platform_test.cc
@@ -35,6 +35,12 @@
   const std::string whole = HttpReplyText(200, R"({"offset":7})");
   const AppendCase cases[] = {
       {"accepted", {whole}, AppendEffect::kOffset},
+      {"accepted after an interim reply",
+       {"HTTP/1.1 102 x\r\n\r\n" + whole},
+       AppendEffect::kOffset},
+      {"status 000",
+       {"HTTP/1.1 000 x\r\n\r\n" + HttpReplyText(400, "{}")},
+       AppendEffect::kMayHaveEffect},
       {"bad request", {HttpReplyText(400, "{}")}, AppendEffect::kNoEffect},
       {"too many requests",
        {HttpReplyText(429, "{}")},
--- a/test/contract/upstream_test.cc
+++ b/test/contract/upstream_test.cc
@@ -86,6 +86,18 @@
        ""},
       {"refused without the header", {HttpReplyText(503, "{}")}, kUnknown, ""},
       {"internal error", {HttpReplyText(500, "{}")}, kUnknown, ""},
+      {"interim replies",
+       {"HTTP/1.1 100 x\r\n\r\nHTTP/1.1 103 x\r\n\r\n" + whole},
+       kAnswered,
+       "ab"},
+      {"status 000",
+       {fmt::format("HTTP/1.1 000 x\r\n{}\r\n", kNotStartedHeader)},
+       kUnknown,
+       ""},
+      {"interim reply with a body",
+       {"HTTP/1.1 100 x\r\nTransfer-Encoding: chunked\r\n\r\n" + whole},
+       kUnknown,
+       ""},
       {"closed without a reply", {""}, kUnknown, ""},
       {"closed before reading", {.closes_without_reading = true}, kUnknown, ""},
       {"cut between two tokens",
@@ -152,14 +164,15 @@
 }
 
 struct PlainCase {
-  const char* name;
+  std::string name;
   Script script;
   size_t outcome;
+  unsigned status = 200;  // If answered.
 };
 
-size_t RunPlain(const std::string& address) {
+PlainCallResult RunPlain(const std::string& address) {
   ConnectionPool pool;
-  const PlainCallResult end = RunCoroutine<PlainCallResult>([&] {
+  return RunCoroutine<PlainCallResult>([&] {
     PlainCall call;
     call.address = address;
     call.request = HttpRequestMessage{http::verb::post, "/stamps", 11};
@@ -167,14 +180,34 @@
     call.timeouts = kTimeouts;
     return CallPlain(pool, std::move(call));
   });
-  return end.outcome.index();
+}
+
+// Ends with the head of `status`, which has the fields `fields`, and a whole
+// reply.
+std::string HeadBeforeReply(std::string_view status,
+                            const std::string& fields = {}) {
+  return fmt::format("HTTP/1.1 {} x\r\n{}\r\n{}", status, fields,
+                     HttpReplyText(200, R"({"ran":1})"));
 }
 
 TEST_CASE("a plain service's reply maps to the right outcome") {
   const std::string whole = HttpReplyText(200, R"({"ran":1})");
-  const PlainCase cases[] = {
+  std::vector<PlainCase> cases = {
       {"whole", {whole}, kAnswered},
-      {"error status is an answer", {HttpReplyText(500, "{}")}, kAnswered},
+      {"error status is an answer", {HttpReplyText(500, "{}")}, kAnswered, 500},
+      {"status that no standard knows",
+       {HttpReplyText(999, "{}")},
+       kAnswered,
+       999},
+      {"interim replies",
+       {"HTTP/1.1 100 x\r\n\r\n" + HeadBeforeReply("103", "Link: a\r\n")},
+       kAnswered},
+      {"interim reply alone",
+       {.reply = "HTTP/1.1 100 x\r\n\r\n", .stays_open = true},
+       kUnknown},
+      {"interim reply with a body",
+       {HeadBeforeReply("100", "Content-Length: 2\r\n")},
+       kUnknown},
       {"refused as not started",
        {HttpReplyText(503, "{}", kNotStartedHeader)},
        kNotStarted},
@@ -187,12 +220,22 @@
        {.reply = whole.substr(0, whole.size() - 2), .stays_open = true},
        kUnknown},
   };
+  for (const char* status : {"000", "001", "020", "099", "101", "20", "2x0"}) {
+    cases.push_back({status, {HeadBeforeReply(status)}, kUnknown});
+    cases.push_back({fmt::format("{}, not started", status),
+                     {HeadBeforeReply(status, kNotStartedHeader)},
+                     kUnknown});
+  }
   for (const PlainCase& c : cases) {
     CAPTURE(c.name);
     ScriptedServer server({c.script});
-    CHECK(RunPlain(server.Address()) == c.outcome);
+    const PlainCallResult end = RunPlain(server.Address());
+    CHECK(end.outcome.index() == c.outcome);
+    if (c.outcome == kAnswered) {
+      CHECK(end.response.result_int() == c.status);
+    }
   }
-  CHECK(RunPlain(RefusingAddress()) == kNotStarted);
+  CHECK(RunPlain(RefusingAddress()).outcome.index() == kNotStarted);
 }
 
 // An answer that the service wrote twice was taken for the answer to the next
--- a/test/gateway/duties_are_done_by_one_test.cc
+++ b/test/gateway/duties_are_done_by_one_test.cc
@@ -209,6 +209,10 @@
   };
   const Case cases[] = {
       {"accepted", {HttpReplyText(200, "{}")}, true, ApiCallEnd::kAccepted},
+      {"accepted after an interim reply",
+       {"HTTP/1.1 102 x\r\n\r\n" + HttpReplyText(200, "{}")},
+       true,
+       ApiCallEnd::kAccepted},
       {"no capacity", {HttpReplyText(409, "")}, true, ApiCallEnd::kUnavailable},
       {"too many", {HttpReplyText(429, "")}, true, ApiCallEnd::kRejected},
       {"invalid", {HttpReplyText(400, "")}, true, ApiCallEnd::kRejected},
