Tests: field names with blanks and control bytes

The parser refuses them; nothing else is changed. Lines with 22 bytes in, before and behind a name, alone, and in names that frame the body fail the attempt at the gateway, with 200 and 404, plain and stream, and the call of pomeloring-node.

--- a/test/contract/upstream_test.cc
+++ b/test/contract/upstream_test.cc
@@ -226,6 +226,10 @@
                      {HeadBeforeReply(status, kNotStartedHeader)},
                      kUnknown});
   }
+  for (const std::string& line : LinesWithInvalidNames()) {
+    cases.push_back(
+        {line, {HttpReplyText(200, "{}", line + "\r\n")}, kUnknown});
+  }
   for (const PlainCase& c : cases) {
     CAPTURE(c.name);
     ScriptedServer server({c.script});
--- a/test/gateway/invalid_heads_are_no_replies_test.cc
+++ b/test/gateway/invalid_heads_are_no_replies_test.cc
@@ -139,6 +139,19 @@
   }
 }
 
+TEST_CASE("A field name with a blank or a control byte fails the attempt") {
+  std::vector<Head> heads;
+  for (const std::string& line : LinesWithInvalidNames()) {
+    for (const char* status : {"200 OK", "404 x"}) {
+      heads.push_back({line, fmt::format("HTTP/1.1 {}\r\nX-Request-Id: r1\r\n"
+                                         "X-Response-Seal: seal-0\r\n{}\r\n"
+                                         "Content-Length: 5\r\n\r\ninner",
+                                         status, line)});
+    }
+  }
+  CheckHeads(heads);
+}
+
 TEST_CASE("A connection is used again after interim replies") {
   size_t earlier_replies = 0;
   KeepAliveUpstream upstream([&](const ReceivedRequest& request) {
--- a/test/support/scripted_server.cc
+++ b/test/support/scripted_server.cc
@@ -193,4 +193,28 @@
       status, headers, body.size(), body);
 }
 
+// A line that begins with a blank continues the line before it (RFC 9112,
+// section 5.2), so that blanks do not come first.
+std::vector<std::string> LinesWithInvalidNames() {
+  using namespace std::string_view_literals;
+  constexpr std::string_view kBytes =
+      " \t\0\1\b\n\v\f\r\33\37\177\200\377(/;=@[{\""sv;
+  std::vector<std::string> lines;
+  for (const char byte : kBytes) {
+    for (const std::string name :
+         {"X-A", "Content-Length", "Transfer-Encoding"}) {
+      const std::string value = name == "X-A"    ? ": 1"
+                                : name[0] == 'C' ? ": 3"
+                                                 : ": chunked";
+      lines.push_back(name + byte + value);
+      lines.push_back(name.substr(0, 2) + byte + name.substr(2) + value);
+      if (byte != ' ' && byte != '\t') {
+        lines.push_back(byte + name + value);
+        lines.push_back(byte + value);
+      }
+    }
+  }
+  return lines;
+}
+
 }  // namespace pomeloring::test
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -90,6 +90,11 @@
                           const std::string& body,
                           const std::string& headers = {});
 
+// Header lines, each without its end, whose field name holds a byte that no
+// name may have: blanks, control bytes, and others that are no token
+// characters.
+std::vector<std::string> LinesWithInvalidNames();
+
 }  // namespace pomeloring::test
 
 #include <boost/asio/co_spawn.hpp>
