--- a/test/soak/oracle.h
+++ b/test/soak/oracle.h
@@ -62,6 +62,7 @@
   std::string reply;
   uint64_t last_event = 0;     // Id of the last event of a whole stream.
   bool aborted = false;        // The upstream broke off the reply.
+  bool is_early = false;       // It did not read the request's body.
   bool is_fully_sent = false;  // The whole reply was sent.
 };
 
--- a/test/soak/soak_site.cc
+++ b/test/soak/soak_site.cc
@@ -25,6 +25,7 @@
 namespace http = boost::beast::http;
 namespace json = boost::json;
 
+constexpr uint64_t kMaxUploadBytes = 1'000'000;
 constexpr int kStorePort = 7200;
 constexpr int kStoreLinkPort = 7201;
 constexpr int kCallerPort = 7202;
@@ -90,6 +91,7 @@
                             getpid() % 250 + 1)),
       m_random(StableHash("soak", plan.seed)),
       m_repeat_random(StableHash("repeats", plan.seed)),
+      m_upload_random(StableHash("uploads", plan.seed)),
       m_start(Clock::now()) {}
 
 SoakSite::~SoakSite() = default;
@@ -292,6 +294,9 @@
   record.path =
       fmt::format("/{}/{}", kNames[static_cast<size_t>(record.kind)], number);
   record.body = std::string(Random(3000), 'b') + id;
+  if (m_plan.has_early && NextRandom(m_upload_random) % 4 == 0) {
+    record.body.insert(0, NextRandom(m_upload_random) % kMaxUploadBytes, 'u');
+  }
   CallerPlan plan;
   plan.address = fmt::format(
       "{}:{}", m_gateways[static_cast<size_t>(gateway)].address, kCallerPort);
@@ -363,6 +368,9 @@
   if (m_plan.has_copies) {
     asio::co_spawn(m_context, InjectCopies(until), asio::detached);
   }
+  if (m_plan.has_early) {
+    asio::co_spawn(m_context, InjectEarly(until), asio::detached);
+  }
   while (Clock::now() < until) {
     asio::co_spawn(m_context, InjectRandomFault(), asio::detached);
     co_await Sleep(100 + static_cast<double>(Random(500)));
@@ -415,6 +423,23 @@
   --m_active_faults;
 }
 
+// Draws from a generator of its own, as InjectSignals().
+SoakSite::Task SoakSite::InjectEarly(Instant until) {
+  ++m_active_faults;
+  uint64_t random = StableHash("early", m_plan.seed);
+  while (Clock::now() < until) {
+    for (const auto& upstream : m_upstreams) {
+      const auto tenths = static_cast<double>(NextRandom(random) % 5);
+      upstream->server->early_faults = {0.1 * tenths, 0.2};
+    }
+    co_await Sleep(500 + static_cast<double>(NextRandom(random) % 1000));
+  }
+  for (const auto& upstream : m_upstreams) {
+    upstream->server->early_faults = {};
+  }
+  --m_active_faults;
+}
+
 // Draws from a generator of its own, as InjectSignals().
 SoakSite::Task SoakSite::InjectCuts(Instant until) {
   ++m_active_faults;
--- a/test/soak/soak_site.h
+++ b/test/soak/soak_site.h
@@ -33,6 +33,8 @@
   // Whether upstreams refuse requests and write earlier replies again, and
   // callers repeat what was refused.
   bool has_copies = false;
+  // Whether upstreams answer before they have read the request, and break off.
+  bool has_early = false;
   // An earlier version's program, which gateways of odd numbers run until they
   // are started anew. Empty: none.
   std::string older_gateway;
@@ -90,6 +92,8 @@
   Task CutOff(int number, bool is_silent, double length_ms);
   // Lets upstreams refuse requests and write replies again until `until`.
   Task InjectCopies(Instant until);
+  // Lets upstreams answer early until `until`.
+  Task InjectEarly(Instant until);
   void AddUpstreamLink(Gateway& gateway, int gateway_number, int upstream);
   std::string UpstreamLinkIp(int gateway) const;
   Task InjectSignal(size_t number, Signal signal, double length_ms);
@@ -110,6 +114,7 @@
   const std::string m_network;  // The first three bytes of all IPs.
   uint64_t m_random;
   uint64_t m_repeat_random;  // Of its own: the other draws stay the same.
+  uint64_t m_upload_random;
   Instant m_start;
   std::unique_ptr<test::Process> m_store;
   std::vector<Gateway> m_gateways;
--- a/test/soak/soak_upstream.h
+++ b/test/soak/soak_upstream.h
@@ -38,6 +38,12 @@
   double copy_rate = 0;     // Fraction of replies with a copy beside them.
 };
 
+// Faults of an upstream that answers requests before it has read them.
+struct EarlyFaults {
+  double reset_rate = 0;    // Fraction of replies cut off by a reset.
+  double interim_rate = 0;  // Fraction of the others behind interim replies.
+};
+
 class SoakUpstream {
  public:
   // Listens on the address `listen_at`; port 0 selects a free port.
@@ -50,6 +56,7 @@
 
   UpstreamFaults faults;
   CopyFaults copy_faults;
+  EarlyFaults early_faults;
   const std::string& Id() const { return m_id; }
   bool ServesStreams() const { return m_serves_streams; }
   std::string Address() const;
@@ -93,6 +100,11 @@
   boost::asio::awaitable<bool> Run(Connection& connection,
                                    const Request& request,
                                    UpstreamAttempt& attempt);
+  // Answers a request whose body was not read with a head that no reply may
+  // have, or a part of a reply without a length, and resets the connection.
+  boost::asio::awaitable<void> ResetEarly(std::shared_ptr<Socket> socket,
+                                          const Request& head);
+  std::string BrokenReply(const Request& head, UpstreamAttempt& attempt);
   std::string RandomRefusal(const std::string& id, const std::string& key);
   UpstreamAttempt& RecordAttempt(const std::string& key,
                                  const Request& request);
@@ -112,6 +124,7 @@
   bool Chance(double rate);
   uint64_t RandomForCopy(uint64_t below);
   bool CopyChance(double rate);
+  uint64_t RandomForEarly(uint64_t below);
 
   boost::asio::io_context& m_context;
   Oracle& m_oracle;
@@ -121,6 +134,7 @@
   std::list<std::weak_ptr<Socket>> m_connections;
   uint64_t m_random;
   uint64_t m_copy_random;  // Of its own: the other draws stay the same.
+  uint64_t m_early_random;
   uint64_t m_attempt_count = 0;
   bool m_had_limit = false;
   bool m_has_crashed = false;
