--- a/src/gateway/reply_end.cc
+++ b/src/gateway/reply_end.cc
@@ -34,7 +34,7 @@
   EndOfFile end =
       JudgeEndOfFile(IsHalfClosed(connection->socket), write->outcome);
   if (end == EndOfFile::kUndecided) {
-    co_await AwaitEnd(write);
+    co_await AwaitWrite(write);
     end = JudgeEndOfFile(false, write->outcome);
   }
   co_return end == EndOfFile::kClosed;
--- a/src/gateway/request_write.cc
+++ b/src/gateway/request_write.cc
@@ -31,7 +31,7 @@
   return write;
 }
 
-asio::awaitable<void> AwaitEnd(std::shared_ptr<RequestWrite> write) {
+asio::awaitable<void> AwaitWrite(std::shared_ptr<RequestWrite> write) {
   while (!write->outcome.is_complete && !write->outcome.error) {
     error_code ignored;
     co_await write->ended.async_wait(
--- a/src/gateway/request_write.h
+++ b/src/gateway/request_write.h
@@ -26,7 +26,8 @@
   explicit RequestWrite(const boost::asio::any_io_executor& executor)
       : ended(executor, boost::asio::steady_timer::time_point::max()) {}
   WriteOutcome outcome;
-  boost::asio::steady_timer ended;  // Cancelled at the end.
+  // Cancelled when the write has ended.
+  boost::asio::steady_timer ended;
 };
 
 // Starts to write `bytes`; `hold` is released at the end.
@@ -36,7 +37,7 @@
     MemoryHold hold);
 
 // Returns once the write is complete or has failed.
-boost::asio::awaitable<void> AwaitEnd(std::shared_ptr<RequestWrite> write);
+boost::asio::awaitable<void> AwaitWrite(std::shared_ptr<RequestWrite> write);
 
 }  // namespace pomeloring
 
--- a/src/link/reply_head.cc
+++ b/src/link/reply_head.cc
@@ -20,6 +20,8 @@
 }  // namespace
 
 // No request asks for another protocol, and bytes behind a 101 are not HTTP.
+// Statuses of 600 to 999 are forwarded: clients treat them as a 5xx (RFC 9110,
+// section 15).
 ReplyHeadKind ClassifyReplyHead(const http::response_header<>& head) {
   const unsigned status = head.result_int();
   if (status >= kFirstFinalStatus) {
--- a/src/link/reply_head.h
+++ b/src/link/reply_head.h
@@ -17,8 +17,7 @@
 // Interim heads that may come before a final one.
 inline constexpr int kMaxInterimReplies = 8;
 
-// Statuses of 600 to 999 are final: RFC 9110, section 15, leaves them to the
-// client, which treats them as a 5xx.
+// Takes any status of three digits.
 ReplyHeadKind ClassifyReplyHead(
     const boost::beast::http::response_header<>& head);
 
--- a/src/link/socket_peek.h
+++ b/src/link/socket_peek.h
@@ -1,5 +1,5 @@
-// Defines PeekSocket() and IsHalfClosed(): what the kernel knows of a
-// connection before it is read or written.
+// Defines PeekSocket() and IsHalfClosed(): what has arrived on a connection,
+// and its state, without reading from it.
 
 #ifndef POMELORING_LINK_SOCKET_PEEK_H_
 #define POMELORING_LINK_SOCKET_PEEK_H_
