--- a/test/support/scripted_server.cc
+++ b/test/support/scripted_server.cc
@@ -69,6 +69,9 @@
   while (end == EarlyEnd::kClosed && !error) {
     socket.read_some(asio::buffer(bytes), error);
   }
+  if (end == EarlyEnd::kUnread) {  // Without unread bytes it is a clean close.
+    socket.wait(tcp::socket::wait_read, error);
+  }
   if (end == EarlyEnd::kReset || end == EarlyEnd::kClosedThenReset) {
     socket.set_option(asio::socket_base::linger(true, 0), error);
   }
