--- a/test/gateway/truncated_stream_never_looks_complete_test.cc
+++ b/test/gateway/truncated_stream_never_looks_complete_test.cc
@@ -18,8 +18,8 @@
 // Until two instances know each other.
 constexpr std::chrono::milliseconds kMembershipTime{1500};
 
-// An upload that has filled its upstream's window waits for the kernel's probes,
-// the first of which comes after 200 ms.
+// An upload that has filled its upstream's window waits for the kernel's
+// probes, the first of which comes after 200 ms.
 constexpr std::chrono::milliseconds kReplyTime{5000};
 
 bool LooksComplete(const std::string& reply) {
